--- /dev/null
+++ b/Libraries/LibBase/log.h
@@ -0,0 +1,62 @@
+// Structured logs with numbered events. docs/EVENTS.md is the catalogue; a
+// test compares it with this list.
+
+#ifndef LIBBASE_LOG_H_
+#define LIBBASE_LOG_H_
+
+#include <cstdint>
+#include <initializer_list>
+#include <span>
+#include <string>
+#include <string_view>
+
+namespace base {
+
+enum class Severity { kInfo, kWarning, kError };
+
+enum class Event : uint16_t {
+  kNodeStarted = 100,
+  kNodeDraining = 101,
+  kNodeStopped = 102,
+  kListenFailed = 103,
+  kPauseDetected = 104,
+  kConfigurationInForce = 200,
+  kConfigurationRejected = 201,
+  kStoreUnavailable = 202,
+  kStoreRecovered = 203,
+  kPeerSuspected = 300,
+  kPeerDead = 301,
+  kPeerJoined = 302,
+  kPeerCallFailed = 303,
+  kServerLeaving = 400,
+  kServerUnreachable = 401,
+  kServerProtocolError = 402,
+  kSnapshotChanged = 403,
+  kBookingUnknown = 500,
+  kUsageWritten = 600,
+  kUsageWriteFailed = 601,
+};
+
+struct EventDescription {
+  Event event;
+  Severity severity;
+  std::string_view name;
+  std::string_view text;
+};
+
+std::span<const EventDescription> EventCatalogue();
+
+struct LogField {
+  std::string_view key;
+  std::string value;
+};
+
+// Writes one line to standard error: time, event number, name, fields.
+void Log(Event event, std::initializer_list<LogField> fields = {});
+
+// Adds the process's name to each line. Call once, before other threads start.
+void InitializeLog(std::string process_name);
+
+}  // namespace base
+
+#endif  // LIBBASE_LOG_H_
--- /dev/null
+++ b/Libraries/LibBase/time.h
@@ -0,0 +1,35 @@
+// Monotonic time with microsecond resolution. Decisions take instants as
+// arguments or from a Scheduler, so that tests run them in virtual time.
+
+#ifndef LIBBASE_TIME_H_
+#define LIBBASE_TIME_H_
+
+#include <chrono>
+#include <cstdint>
+
+namespace base {
+
+using Duration = std::chrono::microseconds;
+
+struct MonotonicClock {
+  using duration = Duration;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<MonotonicClock>;
+  static constexpr bool is_steady = true;
+  static time_point now();
+};
+
+using Instant = MonotonicClock::time_point;
+
+constexpr double ToMilliseconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1000.0;
+}
+
+constexpr double ToSeconds(Duration duration) {
+  return static_cast<double>(duration.count()) / 1e6;
+}
+
+}  // namespace base
+
+#endif  // LIBBASE_TIME_H_
--- /dev/null
+++ b/Libraries/LibConfig/json_text.cc
@@ -0,0 +1,37 @@
+// The one place that parses files written by people.
+
+#include "LibConfig/json_text.h"
+
+#include <nlohmann/json.hpp>
+
+namespace config {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kMaxNesting = 32;
+
+}  // namespace
+
+json ParseJsonWithComments(std::string_view text,
+                           const std::string& file,
+                           Issues& issues) {
+  bool too_deep = false;
+  const auto limit_depth = [&](int depth, json::parse_event_t, json&) {
+    too_deep = too_deep || depth > kMaxNesting;
+    return depth <= kMaxNesting;
+  };
+  try {
+    json document = json::parse(text, limit_depth, true, true);
+    if (!too_deep)
+      return document;
+    issues.push_back({file, "", "is nested too deeply",
+                      "keep to " + std::to_string(kMaxNesting) + " levels"});
+  } catch (const json::exception& error) {
+    issues.push_back({file, "", error.what(), "write JSON with comments"});
+  }
+  return nullptr;
+}
+
+}  // namespace config
--- /dev/null
+++ b/Libraries/LibConfig/reader.cc
@@ -0,0 +1,223 @@
+// Typed access to JSON values with complete reports.
+
+#include "LibConfig/reader.h"
+
+#include <arpa/inet.h>
+
+#include <charconv>
+#include <nlohmann/json.hpp>
+
+namespace config {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kMaxPort = 65535;
+
+std::string RangeText(IntegerRange range) {
+  return "give a whole number from " + std::to_string(range.least) + " to " +
+         std::to_string(range.most);
+}
+
+}  // namespace
+
+std::string ToString(const Issue& issue) {
+  return issue.file + ": " +
+         (issue.path.empty() ? "(whole file)" : issue.path) + ": " +
+         issue.problem + "; " + issue.remedy;
+}
+
+bool IsAddress(std::string_view text) {
+  const size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos)
+    return false;
+  const std::string host(text.substr(0, colon));
+  in_addr parsed;
+  if (inet_pton(AF_INET, host.c_str(), &parsed) != 1)
+    return false;
+  const std::string_view port_text = text.substr(colon + 1);
+  int port = 0;
+  const char* end = port_text.data() + port_text.size();
+  const auto result = std::from_chars(port_text.data(), end, port);
+  return result.ec == std::errc() && result.ptr == end && port > 0 &&
+         port <= kMaxPort;
+}
+
+Reader::Reader(const json& value,
+               std::string file,
+               std::string path,
+               Issues& issues)
+    : value_(value),
+      file_(std::move(file)),
+      path_(std::move(path)),
+      issues_(issues) {
+  if (!value_.is_object())
+    Report("", "is not an object", "write an object in braces");
+}
+
+std::string Reader::PathOf(std::string_view key) const {
+  if (path_.empty() || key.empty())
+    return path_ + std::string(key);
+  return path_ + "." + std::string(key);
+}
+
+void Reader::Report(std::string_view key,
+                    std::string problem,
+                    std::string remedy) {
+  issues_.push_back(
+      {file_, PathOf(key), std::move(problem), std::move(remedy)});
+}
+
+const json* Reader::Find(std::string_view key) {
+  known_.emplace(key);
+  if (!value_.is_object())
+    return nullptr;
+  const auto found = value_.find(std::string(key));
+  return found == value_.end() ? nullptr : &*found;
+}
+
+const json* Reader::Require(std::string_view key) {
+  const json* found = Find(key);
+  if (!found && value_.is_object())
+    Report(key, "is missing", "add the key");
+  return found;
+}
+
+bool Reader::Has(std::string_view key) {
+  return Find(key) != nullptr;
+}
+
+std::string Reader::String(std::string_view key) {
+  const json* found = Require(key);
+  if (!found)
+    return "";
+  if (!found->is_string() || found->get_ref<const std::string&>().empty()) {
+    Report(key, "is not a non-empty string", "give a string in quotes");
+    return "";
+  }
+  return found->get<std::string>();
+}
+
+std::string Reader::OptionalString(std::string_view key, std::string fallback) {
+  return Find(key) ? String(key) : std::move(fallback);
+}
+
+int64_t Reader::Integer(std::string_view key, IntegerRange range) {
+  const json* found = Require(key);
+  if (!found)
+    return range.least;
+  const bool fits =
+      found->is_number_integer() &&
+      !(found->is_number_unsigned() && found->get<uint64_t>() > INT64_MAX);
+  const int64_t number = fits ? found->get<int64_t>() : 0;
+  if (!fits || number < range.least || number > range.most) {
+    Report(key, "is " + found->dump(), RangeText(range));
+    return range.least;
+  }
+  return number;
+}
+
+int64_t Reader::OptionalInteger(std::string_view key,
+                                IntegerRange range,
+                                int64_t fallback) {
+  return Find(key) ? Integer(key, range) : fallback;
+}
+
+double Reader::OptionalNumber(std::string_view key,
+                              NumberRange range,
+                              double fallback) {
+  const json* found = Find(key);
+  if (!found)
+    return fallback;
+  const double number = found->is_number() ? found->get<double>() : 0;
+  if (!found->is_number() || number < range.least || number > range.most) {
+    Report(key, "is " + found->dump(),
+           "give a number from " + std::to_string(range.least) + " to " +
+               std::to_string(range.most));
+    return fallback;
+  }
+  return number;
+}
+
+bool Reader::OptionalBool(std::string_view key, bool fallback) {
+  const json* found = Find(key);
+  if (!found)
+    return fallback;
+  if (!found->is_boolean()) {
+    Report(key, "is " + found->dump(), "write true or false");
+    return fallback;
+  }
+  return found->get<bool>();
+}
+
+std::string Reader::CheckedAddress(std::string_view key, std::string text) {
+  if (!text.empty() && !IsAddress(text))
+    Report(key, "is '" + text + "'",
+           "give a numeric IPv4 address and a port, such as 127.0.0.11:8080");
+  return text;
+}
+
+std::string Reader::Address(std::string_view key) {
+  return CheckedAddress(key, String(key));
+}
+
+std::string Reader::OptionalAddress(std::string_view key,
+                                    std::string fallback) {
+  return Find(key) ? Address(key) : std::move(fallback);
+}
+
+void Reader::Object(std::string_view key, const ElementAction& action) {
+  const json* found = Require(key);
+  if (!found)
+    return;
+  Reader element(*found, file_, PathOf(key), issues_);
+  action(element);
+  element.RejectUnknownKeys();
+}
+
+void Reader::ForEachObject(std::string_view key, const ElementAction& action) {
+  const json* found = Require(key);
+  if (!found)
+    return;
+  if (!found->is_array()) {
+    Report(key, "is not a list", "write a list in brackets");
+    return;
+  }
+  size_t index = 0;
+  for (const json& item : *found) {
+    Reader element(item, file_,
+                   PathOf(key) + "[" + std::to_string(index++) + "]", issues_);
+    action(element);
+    element.RejectUnknownKeys();
+  }
+}
+
+void Reader::ForEachString(
+    std::string_view key,
+    const std::function<void(const std::string&)>& action) {
+  const json* found = Require(key);
+  if (!found)
+    return;
+  if (!found->is_array()) {
+    Report(key, "is not a list", "write a list in brackets");
+    return;
+  }
+  for (const json& item : *found) {
+    if (item.is_string())
+      action(item.get<std::string>());
+    else
+      Report(key, "holds " + item.dump(), "give strings in quotes only");
+  }
+}
+
+void Reader::RejectUnknownKeys() {
+  if (!value_.is_object())
+    return;
+  for (const auto& [key, unused] : value_.items()) {
+    if (!known_.contains(key))
+      Report(key, "is not a known key", "remove it or mend its spelling");
+  }
+}
+
+}  // namespace config
--- /dev/null
+++ b/Libraries/LibConfig/settings.cc
@@ -0,0 +1,75 @@
+// Parses node settings.
+
+#include "LibConfig/settings.h"
+
+#include <nlohmann/json.hpp>
+
+#include "LibConfig/json_text.h"
+#include "LibConfig/reader.h"
+
+namespace config {
+
+namespace {
+
+constexpr IntegerRange kNodeCount{1, 100'000};
+constexpr IntegerRange kHolderCount{1, 64};
+constexpr IntegerRange kThreadCount{1, 256};
+constexpr IntegerRange kHoldMs{100, 600'000};
+constexpr IntegerRange kGossipMs{20, 10'000};
+
+constexpr std::string_view kNodeIdCharacters =
+    "abcdefghijklmnopqrstuvwxyz0123456789-";
+
+base::Duration ReadMilliseconds(Reader& reader,
+                                std::string_view key,
+                                IntegerRange range,
+                                int64_t fallback) {
+  return std::chrono::milliseconds(
+      reader.OptionalInteger(key, range, fallback));
+}
+
+}  // namespace
+
+ParsedSettings ParseSettings(std::string_view text, const std::string& file) {
+  ParsedSettings parsed;
+  const auto document = ParseJsonWithComments(text, file, parsed.issues);
+  if (!parsed.issues.empty())
+    return parsed;
+  Reader reader(document, file, "", parsed.issues);
+  Settings& settings = parsed.settings;
+  settings.node_id = reader.String("nodeId");
+  settings.availability_zone = reader.String("availabilityZone");
+  settings.caller_address = reader.Address("callerAddress");
+  settings.operator_address = reader.Address("operatorAddress");
+  settings.peer_address = reader.Address("peerAddress");
+  settings.store_address = reader.Address("storeAddress");
+  settings.host_list_address = reader.Address("hostListAddress");
+  reader.ForEachString("peerSeeds", [&](const std::string& seed) {
+    if (!IsAddress(seed))
+      reader.Report("peerSeeds", "holds '" + seed + "'",
+                    "give numeric IPv4 addresses with ports");
+    settings.peer_seeds.push_back(seed);
+  });
+  settings.planned_nodes =
+      static_cast<int>(reader.Integer("plannedNodes", kNodeCount));
+  settings.holders_per_service = static_cast<int>(
+      reader.OptionalInteger("holdersPerService", kHolderCount, 2));
+  settings.threads =
+      static_cast<int>(reader.OptionalInteger("threads", kThreadCount, 2));
+  settings.address_hold =
+      ReadMilliseconds(reader, "addressHoldMs", kHoldMs, 3000);
+  settings.drain = ReadMilliseconds(reader, "drainMs", kHoldMs, 5000);
+  settings.gossip_period =
+      ReadMilliseconds(reader, "gossipPeriodMs", kGossipMs, 200);
+  if (settings.address_hold >= settings.drain)
+    reader.Report("drainMs", "is not longer than addressHoldMs",
+                  "let a stopping node outlive the answers that name it");
+  if (settings.node_id.find_first_not_of(kNodeIdCharacters) !=
+      std::string::npos)
+    reader.Report("nodeId", "is '" + settings.node_id + "'",
+                  "use lower-case letters, digits and hyphens");
+  reader.RejectUnknownKeys();
+  return parsed;
+}
+
+}  // namespace config
--- /dev/null
+++ b/Libraries/LibHttp/client.cc
@@ -0,0 +1,215 @@
+// Beast client connections as coroutines, one strand each.
+
+#include "LibHttp/client.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+
+#include "LibHttp/address.h"
+
+namespace http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+using base::Error;
+using base::ErrorKind;
+
+struct Connection::State : std::enable_shared_from_this<Connection::State> {
+  State(asio::io_context& io, std::string peer)
+      : stream(asio::make_strand(io)), address(std::move(peer)) {}
+
+  asio::awaitable<ExchangeResult> Run(Request request,
+                                      base::Duration timeout,
+                                      size_t max_body_bytes);
+  asio::awaitable<ExchangeResult> Connect();
+  ExchangeResult Failure(beast::error_code error,
+                         SentState sent,
+                         std::string_view step);
+
+  beast::tcp_stream stream;
+  const std::string address;
+  beast::flat_buffer buffer;
+  std::atomic<bool> connected{false};
+  std::atomic<bool> reusable{true};
+  std::atomic<bool> closed{false};
+};
+
+namespace {
+
+beast::http::request<beast::http::string_body> ToMessage(Request request) {
+  beast::http::request<beast::http::string_body> message;
+  message.version(11);
+  message.method_string(request.method);
+  message.target(request.target);
+  for (const Header& header : request.headers)
+    message.set(header.name, header.value);
+  message.body() = std::move(request.body);
+  message.prepare_payload();
+  return message;
+}
+
+Response ToResponse(beast::http::response<beast::http::string_body> message) {
+  Response response;
+  response.status = static_cast<int>(message.result_int());
+  response.content_type =
+      std::string(message[beast::http::field::content_type]);
+  for (const auto& field : message)
+    response.headers.push_back(
+        {std::string(field.name_string()), std::string(field.value())});
+  response.persistence =
+      message.keep_alive() ? Persistence::kKeepAlive : Persistence::kClose;
+  response.body = std::move(message.body());
+  return response;
+}
+
+}  // namespace
+
+ExchangeResult Connection::State::Failure(beast::error_code error,
+                                          SentState sent,
+                                          std::string_view step) {
+  reusable = false;
+  stream.close();
+  ErrorKind kind = ErrorKind::kUnavailable;
+  if (error == beast::error::timeout)
+    kind = ErrorKind::kTimeout;
+  else if (closed)
+    kind = ErrorKind::kCancelled;
+  else if (error.category() ==
+           beast::http::make_error_code(beast::http::error::bad_method)
+               .category())
+    kind = ErrorKind::kProtocol;
+  return tl::make_unexpected(ExchangeError{
+      Error(kind, std::string(step) + " " + address + ": " + error.message(),
+            "check that the server runs and can be reached"),
+      sent});
+}
+
+asio::awaitable<ExchangeResult> Connection::State::Connect() {
+  const auto endpoint = ParseEndpoint(address);
+  if (!endpoint)
+    co_return Failure(asio::error::invalid_argument, SentState::kNothingSent,
+                      "address of");
+  const auto [error] = co_await stream.async_connect(
+      *endpoint, asio::as_tuple(asio::use_awaitable));
+  if (error)
+    co_return Failure(error, SentState::kNothingSent, "connect to");
+  stream.expires_never();
+  beast::error_code ignored;
+  stream.socket().set_option(tcp::no_delay(true), ignored);
+  connected = true;
+  co_return Response();
+}
+
+asio::awaitable<ExchangeResult> Connection::State::Run(Request request,
+                                                       base::Duration timeout,
+                                                       size_t max_body_bytes) {
+  const auto token = asio::as_tuple(asio::use_awaitable);
+  if (closed)
+    co_return Failure(asio::error::operation_aborted, SentState::kNothingSent,
+                      "send to");
+  const auto deadline = std::chrono::steady_clock::now() + timeout;
+  stream.expires_at(deadline);
+  if (!connected) {
+    ExchangeResult result = co_await Connect();
+    if (!result)
+      co_return result;
+    stream.expires_at(deadline);
+  }
+  auto message = ToMessage(std::move(request));
+  const auto [write_error, written] =
+      co_await beast::http::async_write(stream, message, token);
+  if (write_error)
+    co_return Failure(write_error, SentState::kMaybeSent, "send to");
+  beast::http::response_parser<beast::http::string_body> parser;
+  parser.body_limit(max_body_bytes);
+  const auto [read_error, read] =
+      co_await beast::http::async_read(stream, buffer, parser, token);
+  if (read_error)
+    co_return Failure(read_error, SentState::kMaybeSent, "read from");
+  stream.expires_never();
+  Response response = ToResponse(parser.release());
+  // NOTE: Bytes after the answer belong to no request of ours.
+  if (response.persistence == Persistence::kClose || buffer.size() != 0) {
+    reusable = false;
+    stream.close();
+  }
+  co_return response;
+}
+
+Connection::Connection(std::shared_ptr<State> state)
+    : state_(std::move(state)) {}
+
+Connection::~Connection() {
+  Close();
+}
+
+std::shared_ptr<Connection> Connection::Create(asio::io_context& io,
+                                               std::string address) {
+  auto state = std::make_shared<State>(io, std::move(address));
+  return std::shared_ptr<Connection>(new Connection(std::move(state)));
+}
+
+void Connection::Connect(base::Duration timeout, ConnectCallback callback) {
+  state_->stream.expires_after(timeout);
+  asio::co_spawn(
+      state_->stream.get_executor(), state_->Connect(),
+      [state = state_, callback = std::move(callback)](
+          std::exception_ptr failure, ExchangeResult result) {
+        if (!failure && result)
+          callback({});
+        else
+          callback(base::Fail(ErrorKind::kUnavailable,
+                              "can't connect to " + state->address,
+                              "check that the server runs and can be reached"));
+      });
+}
+
+void Connection::Exchange(Request request,
+                          base::Duration timeout,
+                          size_t max_body_bytes,
+                          ExchangeCallback callback) {
+  asio::co_spawn(
+      state_->stream.get_executor(),
+      state_->Run(std::move(request), timeout, max_body_bytes),
+      [state = state_, callback = std::move(callback)](
+          std::exception_ptr failure, ExchangeResult result) {
+        if (failure)
+          callback(state->Failure(asio::error::fault, SentState::kMaybeSent,
+                                  "exchange with"));
+        else
+          callback(std::move(result));
+      });
+}
+
+void Connection::Close() {
+  if (state_->closed.exchange(true))
+    return;
+  state_->reusable = false;
+  asio::post(state_->stream.get_executor(),
+             [state = state_] { state->stream.close(); });
+}
+
+bool Connection::is_reusable() const {
+  return state_->reusable;
+}
+
+bool Connection::is_connected() const {
+  return state_->connected;
+}
+
+void ExchangeOnce(asio::io_context& io,
+                  const std::string& address,
+                  Request request,
+                  base::Duration timeout,
+                  ExchangeCallback callback) {
+  auto connection = Connection::Create(io, address);
+  connection->Exchange(
+      std::move(request), timeout, kMaxAnswerBytes,
+      [connection, callback = std::move(callback)](ExchangeResult result) {
+        callback(std::move(result));
+      });
+}
+
+}  // namespace http
--- /dev/null
+++ b/Libraries/LibHttp/message.h
@@ -0,0 +1,66 @@
+// Plain values of HTTP exchanges, free of Beast types.
+
+#ifndef LIBHTTP_MESSAGE_H_
+#define LIBHTTP_MESSAGE_H_
+
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+namespace http {
+
+struct Header {
+  std::string name;
+  std::string value;
+
+  bool operator==(const Header&) const = default;
+};
+
+using Headers = std::vector<Header>;
+
+// The first value of `name`, compared without case, or an empty text.
+std::string_view FindHeader(const Headers& headers, std::string_view name);
+
+struct Request {
+  std::string method;
+  std::string target;
+  Headers headers;
+  std::string body;
+
+  bool operator==(const Request&) const = default;
+};
+
+inline constexpr int kStatusOk = 200;
+inline constexpr int kStatusBadRequest = 400;
+inline constexpr int kStatusUnauthorized = 401;
+inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusConflict = 409;
+inline constexpr int kStatusGone = 410;
+inline constexpr int kStatusPayloadTooLarge = 413;
+inline constexpr int kStatusTooManyRequests = 429;
+inline constexpr int kStatusInternalError = 500;
+inline constexpr int kStatusUnavailable = 503;
+inline constexpr int kStatusGatewayTimeout = 504;
+
+enum class Persistence { kKeepAlive, kClose };
+
+struct Response {
+  int status = kStatusOk;
+  std::string content_type = "application/json";
+  std::string body;
+  Headers headers;
+  Persistence persistence = Persistence::kKeepAlive;
+
+  bool operator==(const Response&) const = default;
+};
+
+// The value of `name` in the query part of `target`, or an empty text.
+std::string QueryParameter(std::string_view target, std::string_view name);
+
+// `target` without its query part.
+std::string_view Path(std::string_view target);
+
+}  // namespace http
+
+#endif  // LIBHTTP_MESSAGE_H_
--- /dev/null
+++ b/Libraries/LibHttp/server.cc
@@ -0,0 +1,292 @@
+// Beast sessions as coroutines, one strand for each connection.
+
+#include "LibHttp/server.h"
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/beast.hpp>
+#include <mutex>
+#include <set>
+
+#include "LibHttp/address.h"
+
+namespace http {
+
+namespace asio = boost::asio;
+namespace beast = boost::beast;
+using asio::ip::tcp;
+
+namespace {
+
+class Session;
+
+}  // namespace
+
+struct Server::State : std::enable_shared_from_this<Server::State> {
+  State(asio::io_context& context, ServerLimits server_limits, Handler action)
+      : io(context),
+        acceptor(asio::make_strand(context)),
+        limits(server_limits),
+        handler(std::move(action)) {}
+
+  void Add(Session* session);
+  void Remove(Session* session);
+
+  asio::io_context& io;
+  tcp::acceptor acceptor;
+  const ServerLimits limits;
+  const Handler handler;
+  std::atomic<bool> draining{false};
+  std::atomic<size_t> running{0};
+  std::atomic<size_t> open{0};
+  std::mutex mutex;
+  std::set<Session*> sessions;  // Guarded by `mutex`.
+};
+
+namespace {
+
+Response ErrorResponse(int status, std::string_view text) {
+  Response response;
+  response.status = status;
+  response.body = R"({"outcome":"not_run","error":{"kind":"invalid_input",)"
+                  R"("message":")" +
+                  std::string(text) +
+                  R"(","remedy":"send one complete HTTP/1.1 request within )"
+                  R"(the documented limits"}})";
+  response.persistence = Persistence::kClose;
+  return response;
+}
+
+class Session : public std::enable_shared_from_this<Session> {
+ public:
+  Session(std::shared_ptr<Server::State> server, tcp::socket socket)
+      : server_(std::move(server)), stream_(std::move(socket)) {
+    beast::error_code error;
+    stream_.socket().set_option(tcp::no_delay(true), error);
+  }
+  ~Session() { server_->Remove(this); }
+
+  void Start() {
+    server_->Add(this);
+    asio::co_spawn(
+        stream_.get_executor(),
+        [self = shared_from_this()] { return self->Run(); }, asio::detached);
+  }
+
+  void CloseIfIdle() {
+    asio::post(stream_.get_executor(), [self = shared_from_this()] {
+      if (!self->busy_)
+        self->stream_.close();
+    });
+  }
+
+ private:
+  asio::awaitable<void> Run() {
+    if (server_->limits.accept_delay.count() > 0) {
+      asio::steady_timer delay(stream_.get_executor(),
+                               server_->limits.accept_delay);
+      co_await delay.async_wait(asio::use_awaitable);
+    }
+    beast::flat_buffer buffer;
+    Persistence persistence = Persistence::kKeepAlive;
+    while (persistence == Persistence::kKeepAlive)
+      persistence = co_await ServeOne(buffer);
+    beast::error_code error;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, error);
+  }
+
+  asio::awaitable<Persistence> ServeOne(beast::flat_buffer& buffer) {
+    const auto token = asio::as_tuple(asio::use_awaitable);
+    beast::http::request_parser<beast::http::string_body> parser;
+    parser.header_limit(server_->limits.max_header_bytes);
+    parser.body_limit(server_->limits.max_body_bytes);
+    if (buffer.size() == 0) {
+      stream_.expires_after(server_->limits.idle_timeout);
+      const auto [error, size] = co_await stream_.async_read_some(
+          buffer.prepare(server_->limits.max_header_bytes), token);
+      if (error)
+        co_return Persistence::kClose;
+      buffer.commit(size);
+    }
+    stream_.expires_after(server_->limits.request_timeout);
+    const auto [error, size] =
+        co_await beast::http::async_read(stream_, buffer, parser, token);
+    if (error)
+      co_return co_await RejectBroken(error);
+    // NOTE: `busy_` is set before the next suspension, so that CloseIfIdle
+    // can't cut off a request that has arrived whole.
+    busy_ = true;
+    stream_.expires_never();
+    const bool keep_alive = parser.get().keep_alive();
+    Response response = co_await Handle(ToRequest(parser.release()));
+    if (!keep_alive || server_->draining)
+      response.persistence = Persistence::kClose;
+    const bool written = co_await Write(response);
+    busy_ = false;
+    co_return written ? response.persistence : Persistence::kClose;
+  }
+
+  asio::awaitable<Persistence> RejectBroken(beast::error_code error) {
+    if (error == beast::http::error::body_limit)
+      co_await Write(ErrorResponse(kStatusPayloadTooLarge, "body too large"));
+    else if (error == beast::http::error::header_limit)
+      co_await Write(ErrorResponse(kStatusBadRequest, "headers too large"));
+    else if (error.category() ==
+                 beast::http::make_error_code(beast::http::error::bad_method)
+                     .category() &&
+             error != beast::http::error::end_of_stream &&
+             error != beast::http::error::partial_message)
+      co_await Write(ErrorResponse(kStatusBadRequest, "malformed request"));
+    co_return Persistence::kClose;
+  }
+
+  static Request ToRequest(
+      beast::http::request<beast::http::string_body> message) {
+    Request request;
+    request.method = std::string(message.method_string());
+    request.target = std::string(message.target());
+    for (const auto& field : message)
+      request.headers.push_back(
+          {std::string(field.name_string()), std::string(field.value())});
+    request.body = std::move(message.body());
+    return request;
+  }
+
+  asio::awaitable<Response> Handle(Request request) {
+    ++server_->running;
+    auto executor = stream_.get_executor();
+    Response response =
+        co_await asio::async_initiate<const asio::use_awaitable_t<>,
+                                      void(Response)>(
+            [&](auto completion) {
+              auto shared =
+                  std::make_shared<decltype(completion)>(std::move(completion));
+              server_->handler(
+                  std::move(request),
+                  [shared, executor](Response result) mutable {
+                    asio::post(executor,
+                               [shared, result = std::move(result)]() mutable {
+                                 std::move (*shared)(std::move(result));
+                               });
+                  });
+            },
+            asio::use_awaitable);
+    co_return response;
+  }
+
+  asio::awaitable<bool> Write(const Response& response) {
+    beast::http::response<beast::http::string_body> message(
+        static_cast<beast::http::status>(response.status), 11);
+    message.set(beast::http::field::content_type, response.content_type);
+    for (const Header& header : response.headers)
+      message.set(header.name, header.value);
+    message.keep_alive(response.persistence == Persistence::kKeepAlive);
+    message.body() = response.body;
+    message.prepare_payload();
+    stream_.expires_after(server_->limits.request_timeout);
+    const auto [error, size] = co_await beast::http::async_write(
+        stream_, message, asio::as_tuple(asio::use_awaitable));
+    if (busy_)
+      --server_->running;
+    co_return !error;
+  }
+
+  std::shared_ptr<Server::State> server_;
+  beast::tcp_stream stream_;
+  bool busy_ = false;  // Only touched on the stream's strand.
+};
+
+asio::awaitable<void> Accept(std::shared_ptr<Server::State> state) {
+  while (true) {
+    auto [error, socket] = co_await state->acceptor.async_accept(
+        asio::make_strand(state->io), asio::as_tuple(asio::use_awaitable));
+    if (error == asio::error::operation_aborted || !state->acceptor.is_open())
+      co_return;
+    if (error) {
+      // NOTE: Out of descriptors; wait instead of spinning.
+      asio::steady_timer pause(state->acceptor.get_executor(),
+                               std::chrono::milliseconds(10));
+      co_await pause.async_wait(asio::use_awaitable);
+      continue;
+    }
+    if (state->open >= state->limits.max_connections)
+      continue;  // The socket closes here: the connection is refused.
+    std::make_shared<Session>(state, std::move(socket))->Start();
+  }
+}
+
+}  // namespace
+
+void Server::State::Add(Session* session) {
+  ++open;
+  const std::lock_guard lock(mutex);
+  sessions.insert(session);
+}
+
+void Server::State::Remove(Session* session) {
+  --open;
+  const std::lock_guard lock(mutex);
+  sessions.erase(session);
+}
+
+Server::Server(std::shared_ptr<State> state) : state_(std::move(state)) {}
+
+Server::~Server() {
+  StopAccepting();
+}
+
+base::Result<std::unique_ptr<Server>> Server::Create(asio::io_context& io,
+                                                     const std::string& address,
+                                                     ServerLimits limits,
+                                                     Handler handler) {
+  const tcp::endpoint endpoint = TRY(ParseEndpoint(address));
+  auto state = std::make_shared<State>(io, limits, std::move(handler));
+  beast::error_code error;
+  state->acceptor.open(endpoint.protocol(), error);
+  if (!error)
+    state->acceptor.set_option(asio::socket_base::reuse_address(true), error);
+  if (!error)
+    state->acceptor.bind(endpoint, error);
+  if (!error)
+    state->acceptor.listen(asio::socket_base::max_listen_connections, error);
+  if (error)
+    return base::Fail(base::ErrorKind::kUnavailable,
+                      "can't listen on " + address + ": " + error.message(),
+                      "free the address or change it in the settings");
+  asio::co_spawn(state->acceptor.get_executor(), Accept(state), asio::detached);
+  return std::unique_ptr<Server>(new Server(std::move(state)));
+}
+
+void Server::BeginDrain() {
+  state_->draining = true;
+}
+
+void Server::StopAccepting() {
+  asio::post(state_->acceptor.get_executor(), [state = state_] {
+    beast::error_code error;
+    state->acceptor.close(error);
+  });
+}
+
+void Server::CloseIdle() {
+  std::vector<std::shared_ptr<Session>> sessions;
+  {
+    const std::lock_guard lock(state_->mutex);
+    for (Session* session : state_->sessions) {
+      if (auto shared = session->weak_from_this().lock())
+        sessions.push_back(std::move(shared));
+    }
+  }
+  for (const auto& session : sessions)
+    session->CloseIfIdle();
+}
+
+size_t Server::running_requests() const {
+  return state_->running;
+}
+
+size_t Server::open_connections() const {
+  return state_->open;
+}
+
+}  // namespace http
--- /dev/null
+++ b/Libraries/LibPeer/codec.cc
@@ -0,0 +1,187 @@
+// Plain values to and from Cap'n Proto messages. Numbers of enumerations that
+// a newer peer may send map to the most careful value.
+
+#include "LibPeer/codec.h"
+
+#include <algorithm>
+
+namespace peer {
+
+namespace {
+
+using query::MissingReason;
+
+capnp::Text::Reader ToText(const std::string& text) {
+  return capnp::Text::Reader(text.c_str(), text.size());
+}
+
+MissingReason ToMissingReason(uint8_t number) {
+  return number <= static_cast<uint8_t>(MissingReason::kLeafUnreachable)
+             ? static_cast<MissingReason>(number)
+             : MissingReason::kTimeout;
+}
+
+query::BookingStatus ToBookingStatus(uint8_t number) {
+  return number <= static_cast<uint8_t>(query::BookingStatus::kUnknown)
+             ? static_cast<query::BookingStatus>(number)
+             : query::BookingStatus::kUnknown;
+}
+
+base::ErrorKind ToErrorKind(uint8_t number) {
+  return number <= static_cast<uint8_t>(base::ErrorKind::kInternal)
+             ? static_cast<base::ErrorKind>(number)
+             : base::ErrorKind::kInternal;
+}
+
+template <typename Number, typename List>
+void CopyNumbers(const std::vector<Number>& numbers, List out) {
+  for (uint32_t i = 0; i < numbers.size(); ++i)
+    out.set(i, numbers[i]);
+}
+
+}  // namespace
+
+std::string ToString(capnp::Text::Reader text) {
+  return std::string(text.begin(), text.size());
+}
+
+void Encode(const query::LeafRequest& value, wire::LeafRequest::Builder out) {
+  out.setRequestId(ToText(value.request_id));
+  out.setParty(ToText(value.party));
+  out.setUpstream(ToText(value.upstream));
+  out.setVersion(value.version);
+  out.setShardCount(value.shard_count);
+  auto work = out.initWork(static_cast<uint32_t>(value.work.size()));
+  for (uint32_t i = 0; i < value.work.size(); ++i) {
+    work[i].setService(value.work[i].service);
+    CopyNumbers(
+        value.work[i].shards,
+        work[i].initShards(static_cast<uint32_t>(value.work[i].shards.size())));
+  }
+  out.setQuery(ToText(value.query));
+  out.setTimeLeftUs(value.time_left.count());
+  out.setExtraLoadShare(value.extra_load_share);
+}
+
+query::LeafRequest Decode(wire::LeafRequest::Reader in) {
+  query::LeafRequest value;
+  value.request_id = ToString(in.getRequestId());
+  value.party = ToString(in.getParty());
+  value.upstream = ToString(in.getUpstream());
+  value.version = in.getVersion();
+  value.shard_count = in.getShardCount();
+  for (const auto work : in.getWork()) {
+    query::ServiceShards service{work.getService(), {}};
+    for (const uint32_t shard : work.getShards())
+      service.shards.push_back(shard);
+    value.work.push_back(std::move(service));
+  }
+  value.query = ToString(in.getQuery());
+  value.time_left = base::Duration(in.getTimeLeftUs());
+  value.extra_load_share = in.getExtraLoadShare();
+  return value;
+}
+
+void Encode(const query::LeafAnswer& value, wire::LeafAnswer::Builder out) {
+  out.setRequestId(ToText(value.request_id));
+  out.setVersion(value.version);
+  auto results = out.initResults(static_cast<uint32_t>(value.results.size()));
+  for (uint32_t i = 0; i < value.results.size(); ++i) {
+    results[i].setShard(value.results[i].shard);
+    results[i].setItems(ToText(value.results[i].items));
+  }
+  auto missing = out.initMissing(static_cast<uint32_t>(value.missing.size()));
+  for (uint32_t i = 0; i < value.missing.size(); ++i) {
+    missing[i].setShard(value.missing[i].shard);
+    missing[i].setReason(static_cast<uint8_t>(value.missing[i].reason));
+  }
+  out.setPrimary(value.load.primary);
+  out.setHedges(value.load.hedges);
+  out.setRetries(value.load.retries);
+}
+
+query::LeafAnswer Decode(wire::LeafAnswer::Reader in) {
+  query::LeafAnswer value;
+  value.request_id = ToString(in.getRequestId());
+  value.version = in.getVersion();
+  for (const auto result : in.getResults())
+    value.results.push_back({result.getShard(), ToString(result.getItems())});
+  for (const auto missing : in.getMissing())
+    value.missing.push_back(
+        {missing.getShard(), ToMissingReason(missing.getReason())});
+  value.load = {in.getPrimary(), in.getHedges(), in.getRetries()};
+  return value;
+}
+
+void Encode(const membership::GossipMessage& value,
+            wire::GossipMessage::Builder out) {
+  out.setSenderAddress(ToText(value.sender_address));
+  auto facts = out.initFacts(static_cast<uint32_t>(value.facts.size()));
+  for (uint32_t i = 0; i < value.facts.size(); ++i) {
+    facts[i].setKey(ToText(value.facts[i].key));
+    facts[i].setEpoch(value.facts[i].version.epoch);
+    facts[i].setCounter(value.facts[i].version.counter);
+    facts[i].setValue(ToText(value.facts[i].value));
+  }
+  CopyNumbers(
+      value.bucket_hashes,
+      out.initBucketHashes(static_cast<uint32_t>(value.bucket_hashes.size())));
+  CopyNumbers(value.wanted_buckets, out.initWantedBuckets(static_cast<uint32_t>(
+                                        value.wanted_buckets.size())));
+}
+
+membership::GossipMessage Decode(wire::GossipMessage::Reader in) {
+  membership::GossipMessage value;
+  value.sender_address = ToString(in.getSenderAddress());
+  for (const auto fact : in.getFacts())
+    value.facts.push_back({ToString(fact.getKey()),
+                           {fact.getEpoch(), fact.getCounter()},
+                           ToString(fact.getValue())});
+  for (const uint64_t hash : in.getBucketHashes())
+    value.bucket_hashes.push_back(hash);
+  for (const uint32_t bucket : in.getWantedBuckets())
+    value.wanted_buckets.push_back(bucket);
+  return value;
+}
+
+void Encode(const query::Booking& value, wire::Booking::Builder out) {
+  out.setParty(ToText(value.party));
+  out.setUpstream(ToText(value.upstream));
+  out.setKey(ToText(value.key));
+  out.setBody(ToText(value.body));
+}
+
+query::Booking Decode(wire::Booking::Reader in) {
+  return {ToString(in.getParty()), ToString(in.getUpstream()),
+          ToString(in.getKey()), ToString(in.getBody())};
+}
+
+void Encode(const query::BookingRun& value, wire::BookingRun::Builder out) {
+  out.setRunId(ToText(value.run_id));
+  Encode(value.booking, out.initBooking());
+  out.setService(value.service);
+  out.setTimeLeftUs(value.time_left.count());
+}
+
+query::BookingRun Decode(wire::BookingRun::Reader in) {
+  return {ToString(in.getRunId()), Decode(in.getBooking()), in.getService(),
+          base::Duration(in.getTimeLeftUs())};
+}
+
+void Encode(const query::BookingOutcome& value,
+            wire::BookingOutcome::Builder out) {
+  out.setStatus(static_cast<uint8_t>(value.status));
+  out.setAnswer(ToText(value.answer));
+  out.setErrorKind(static_cast<uint8_t>(value.error.kind()));
+  out.setErrorMessage(ToText(value.error.message()));
+  out.setErrorRemedy(ToText(value.error.remedy()));
+}
+
+query::BookingOutcome Decode(wire::BookingOutcome::Reader in) {
+  return {ToBookingStatus(in.getStatus()), ToString(in.getAnswer()),
+          base::Error(ToErrorKind(in.getErrorKind()),
+                      ToString(in.getErrorMessage()),
+                      ToString(in.getErrorRemedy()))};
+}
+
+}  // namespace peer
--- /dev/null
+++ b/Libraries/LibPeer/handler.h
@@ -0,0 +1,45 @@
+// What a node does for its peers.
+
+#ifndef LIBPEER_HANDLER_H_
+#define LIBPEER_HANDLER_H_
+
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "LibBase/time.h"
+#include "LibLimits/grant.h"
+#include "LibMembership/fact.h"
+#include "LibMembership/peer_link.h"
+#include "LibQuery/booking_link.h"
+#include "LibQuery/leaf_message.h"
+
+namespace peer {
+
+// Called on the network's thread, so calls must be short. Callbacks may come
+// from any thread, once each.
+class Handler {
+ public:
+  virtual ~Handler() = default;
+
+  virtual void ExecuteLeaf(query::LeafRequest request,
+                           std::function<void(query::LeafAnswer)> callback) = 0;
+  virtual membership::GossipMessage Gossip(
+      const membership::GossipMessage& message) = 0;
+  virtual void Probe(const std::string& address,
+                     base::Duration timeout,
+                     membership::PeerLink::ProbeCallback callback) = 0;
+  virtual std::optional<std::string> ContentOf(const std::string& digest) = 0;
+  virtual void RunBooking(query::BookingRun run,
+                          query::BookingCallback callback) = 0;
+  virtual void ForwardBooking(const std::string& ticket,
+                              query::Booking booking,
+                              base::Duration time_left,
+                              query::BookingCallback callback) = 0;
+  virtual limits::Grant GrantCredit(const limits::GrantRequest& request) = 0;
+  virtual void HoldUsage(const std::string& records) = 0;
+};
+
+}  // namespace peer
+
+#endif  // LIBPEER_HANDLER_H_
--- /dev/null
+++ b/Libraries/LibPlatform/configuration_controller.cc
@@ -0,0 +1,118 @@
+// Fetches, checks and installs configurations.
+
+#include "LibPlatform/configuration_controller.h"
+
+#include <utility>
+
+#include "LibBase/digest.h"
+#include "LibBase/log.h"
+
+namespace platform {
+
+std::shared_ptr<ConfigurationController> ConfigurationController::Create(
+    std::vector<ContentSource*> sources) {
+  return std::shared_ptr<ConfigurationController>(
+      new ConfigurationController(std::move(sources)));
+}
+
+ConfigurationController::ConfigurationController(
+    std::vector<ContentSource*> sources)
+    : sources_(std::move(sources)),
+      current_(std::make_shared<config::Configuration>()) {}
+
+void ConfigurationController::AddListener(Listener listener) {
+  listeners_.push_back(std::move(listener));
+}
+
+config::ConfigurationPtr ConfigurationController::Current() {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+std::optional<config::Manifest> ConfigurationController::CurrentManifest() {
+  const std::lock_guard lock(mutex_);
+  return manifest_;
+}
+
+std::optional<std::string> ConfigurationController::ContentOf(
+    const std::string& digest) {
+  const std::lock_guard lock(mutex_);
+  if (!manifest_ || manifest_->content_digest != digest)
+    return std::nullopt;
+  return content_;
+}
+
+void ConfigurationController::OnManifest(const config::Manifest& manifest) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (manifest.revision <= current_->revision ||
+        manifest.revision <= fetching_)
+      return;
+    fetching_ = manifest.revision;
+  }
+  FetchFrom(0, manifest);
+}
+
+void ConfigurationController::FetchFrom(size_t source,
+                                        const config::Manifest& manifest) {
+  if (source >= sources_.size()) {
+    GiveUp(manifest, "no source has the content");
+    return;
+  }
+  sources_[source]->Fetch(
+      manifest.content_digest,
+      [self = shared_from_this(), source, manifest](auto content) {
+        self->OnContent(source, manifest, std::move(content));
+      });
+}
+
+void ConfigurationController::OnContent(size_t source,
+                                        const config::Manifest& manifest,
+                                        base::Result<std::string> content) {
+  if (!content || base::Sha256Hex(*content) != manifest.content_digest) {
+    FetchFrom(source + 1, manifest);
+    return;
+  }
+  auto parsed = config::ParseContent(*content, manifest.revision);
+  if (!parsed.issues.empty()) {
+    GiveUp(manifest, config::ToString(parsed.issues.front()));
+    return;
+  }
+  Install(manifest, *std::move(content), std::move(parsed.configuration));
+}
+
+void ConfigurationController::Install(const config::Manifest& manifest,
+                                      std::string content,
+                                      config::Configuration configuration) {
+  const std::lock_guard install_lock(install_mutex_);
+  {
+    const std::lock_guard lock(mutex_);
+    if (fetching_ == manifest.revision)
+      fetching_ = 0;
+    // NOTE: A slow fetch may end after a higher revision is in force.
+    if (manifest.revision <= current_->revision)
+      return;
+    current_ =
+        std::make_shared<const config::Configuration>(std::move(configuration));
+    manifest_ = manifest;
+    content_ = std::move(content);
+  }
+  base::Log(base::Event::kConfigurationInForce,
+            {{"revision", std::to_string(manifest.revision)}});
+  for (const Listener& listener : listeners_)
+    listener(manifest);
+}
+
+void ConfigurationController::GiveUp(const config::Manifest& manifest,
+                                     const std::string& reason) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (fetching_ == manifest.revision)
+      fetching_ = 0;
+  }
+  base::Log(
+      base::Event::kConfigurationRejected,
+      {{"revision", std::to_string(manifest.revision)}, {"reason", reason}});
+}
+
+}  // namespace platform
--- /dev/null
+++ b/Libraries/LibPlatform/configuration_controller.h
@@ -0,0 +1,77 @@
+// The configuration in force on this node. Its revision never goes down.
+
+#ifndef LIBPLATFORM_CONFIGURATION_CONTROLLER_H_
+#define LIBPLATFORM_CONFIGURATION_CONTROLLER_H_
+
+#include <functional>
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibBase/error.h"
+#include "LibConfig/configuration.h"
+
+namespace platform {
+
+// Where a configuration's content can be had: peers and the store.
+class ContentSource {
+ public:
+  virtual ~ContentSource() = default;
+
+  using Callback = std::function<void(base::Result<std::string>)>;
+  virtual void Fetch(const std::string& digest, Callback callback) = 0;
+};
+
+class ConfigurationController
+    : public std::enable_shared_from_this<ConfigurationController> {
+ public:
+  using Listener = std::function<void(const config::Manifest&)>;
+
+  // Sources are tried in order and outlive the controller.
+  static std::shared_ptr<ConfigurationController> Create(
+      std::vector<ContentSource*> sources);
+
+  // Learns of a manifest from any side. A higher revision than any known is
+  // fetched and put in force; others are ignored.
+  void OnManifest(const config::Manifest& manifest);
+
+  // Never null; revision 0 while none is known.
+  config::ConfigurationPtr Current();
+  std::optional<config::Manifest> CurrentManifest();
+
+  // The content in force if it has this digest, for peers.
+  std::optional<std::string> ContentOf(const std::string& digest);
+
+  // Called outside locks after each change, in rising order of revisions.
+  // Call before other threads use the controller.
+  void AddListener(Listener listener);
+
+ private:
+  explicit ConfigurationController(std::vector<ContentSource*> sources);
+
+  void FetchFrom(size_t source, const config::Manifest& manifest);
+  void OnContent(size_t source,
+                 const config::Manifest& manifest,
+                 base::Result<std::string> content);
+  void Install(const config::Manifest& manifest,
+               std::string content,
+               config::Configuration configuration);
+  void GiveUp(const config::Manifest& manifest, const std::string& reason);
+
+  const std::vector<ContentSource*> sources_;
+  std::vector<Listener> listeners_;
+  // Held over installing and telling the listeners, to keep the order.
+  std::mutex install_mutex_;
+  std::mutex mutex_;
+  // All guarded by `mutex_`.
+  config::ConfigurationPtr current_;
+  std::optional<config::Manifest> manifest_;
+  std::string content_;
+  uint64_t fetching_ = 0;  // Revision being fetched; 0 for none.
+};
+
+}  // namespace platform
+
+#endif  // LIBPLATFORM_CONFIGURATION_CONTROLLER_H_
--- /dev/null
+++ b/Libraries/LibPlatform/key_value_store.h
@@ -0,0 +1,53 @@
+// The platform's key-value service as an interface.
+
+#ifndef LIBPLATFORM_KEY_VALUE_STORE_H_
+#define LIBPLATFORM_KEY_VALUE_STORE_H_
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibBase/time.h"
+
+namespace platform {
+
+struct StoredValue {
+  std::string value;
+  uint64_t version = 0;  // Raised with every write of the key.
+
+  bool operator==(const StoredValue&) const = default;
+};
+
+// The expected version of a key that must not exist yet.
+inline constexpr uint64_t kAbsent = 0;
+
+class KeyValueStore {
+ public:
+  virtual ~KeyValueStore() = default;
+
+  using ReadCallback =
+      std::function<void(base::Result<std::optional<StoredValue>>)>;
+  using WriteCallback = std::function<void(base::Result<uint64_t>)>;
+
+  virtual void Get(const std::string& key, ReadCallback callback) = 0;
+
+  // Answers when the key's version exceeds `above`, or with nothing after
+  // `wait`.
+  virtual void Watch(const std::string& key,
+                     uint64_t above,
+                     base::Duration wait,
+                     ReadCallback callback) = 0;
+
+  // Writes if the key's version is `expected`; fails with kConflict if not.
+  // NOTE: After any other failure the write may have taken effect.
+  virtual void CompareAndSwap(const std::string& key,
+                              uint64_t expected,
+                              const std::string& value,
+                              WriteCallback callback) = 0;
+};
+
+}  // namespace platform
+
+#endif  // LIBPLATFORM_KEY_VALUE_STORE_H_
--- /dev/null
+++ b/Libraries/LibQuery/admission_filters.cc
@@ -0,0 +1,214 @@
+// Filters that decide whether a request may run. All refuse as not run.
+
+#include "LibQuery/admission_filters.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+#include "LibBase/digest.h"
+
+namespace query {
+
+using base::ErrorKind;
+
+namespace {
+
+constexpr base::Duration kLongestDeadline = std::chrono::seconds(60);
+constexpr base::Duration kShortestDeadline = std::chrono::milliseconds(1);
+constexpr char kAccountSeparator = '\n';  // Not possible in a header value.
+
+}  // namespace
+
+std::string AccountName(const std::string& party, const std::string& upstream) {
+  return party + kAccountSeparator + upstream;
+}
+
+std::optional<limits::AccountTerms> TermsOfAccount(
+    const config::Configuration& configuration,
+    const std::string& account) {
+  const size_t separator = account.find(kAccountSeparator);
+  const config::Agreement* agreement =
+      configuration.FindAgreement(account.substr(0, separator));
+  if (!agreement || separator == std::string::npos)
+    return std::nullopt;
+  const config::Ask* ask = agreement->FindAsk(account.substr(separator + 1));
+  if (!ask)
+    return std::nullopt;
+  return limits::AccountTerms{ask->sub_requests_per_second, ask->burst};
+}
+
+ReadinessFilter::ReadinessFilter(
+    std::function<config::ConfigurationPtr()> current)
+    : current_(std::move(current)) {}
+
+void ReadinessFilter::Handle(ContextPtr context, Next next) {
+  context->configuration = current_();
+  if (!context->configuration) {
+    context->Refuse(ErrorKind::kUnavailable,
+                    "this entry host has no configuration in force",
+                    "ask another entry host");
+    return;
+  }
+  if (context->configuration->revision < context->request.least_revision) {
+    context->Refuse(ErrorKind::kUnavailable,
+                    "revision " +
+                        std::to_string(context->request.least_revision) +
+                        " is not in force here yet",
+                    "ask again in a second, or another entry host");
+    return;
+  }
+  next(std::move(context));
+}
+
+void AuthenticationFilter::Handle(ContextPtr context, Next next) {
+  const config::Agreement* agreement =
+      context->configuration->FindAgreement(context->request.party);
+  const std::string digest = base::Sha256Hex(context->request.party_key);
+  bool proved = false;
+  // NOTE: Every digest is compared, so that time tells nothing about them.
+  if (agreement) {
+    for (const std::string& expected : agreement->key_digests)
+      proved |= base::ConstantTimeEquals(expected, digest);
+  }
+  if (!proved) {
+    context->Refuse(ErrorKind::kUnauthorized, "the party or its key is unknown",
+                    "send Celerycroft-Party and Authorization: Bearer KEY "
+                    "with a key whose digest is in the agreement");
+    return;
+  }
+  context->agreement = agreement;
+  next(std::move(context));
+}
+
+void DeadlineFilter::Handle(ContextPtr context, Next next) {
+  const base::Duration deadline =
+      context->request.deadline.value_or(context->agreement->expects.deadline);
+  if (deadline < kShortestDeadline || deadline > kLongestDeadline) {
+    context->Refuse(ErrorKind::kInvalidInput, "the deadline is out of range",
+                    "give deadlineMs from 1 to 60000");
+    return;
+  }
+  context->deadline = context->arrival + deadline;
+  next(std::move(context));
+}
+
+void AgreementFilter::Handle(ContextPtr context, Next next) {
+  const CallerRequest& request = context->request;
+  if (request.operation == Operation::kTicket) {
+    next(std::move(context));
+    return;
+  }
+  context->ask = context->agreement->FindAsk(request.upstream);
+  if (!context->ask) {
+    context->Refuse(
+        ErrorKind::kNotFound,
+        "the agreement names no upstream '" + request.upstream + "'",
+        "ask an upstream of the agreement, or publish a change");
+    return;
+  }
+  if (request.operation == Operation::kBooking &&
+      context->ask->booking == config::BookingRight::kNone) {
+    context->Refuse(ErrorKind::kUnauthorized,
+                    "the agreement does not allow bookings here",
+                    "publish an agreement with mayBook");
+    return;
+  }
+  const std::string account = AccountName(request.party, request.upstream);
+  {
+    const std::lock_guard lock(mutex_);
+    int& running = running_[account];
+    if (running >= context->ask->concurrency) {
+      context->Refuse(ErrorKind::kLimitExceeded,
+                      "the party has as many requests running as agreed",
+                      "wait for an answer before the next request");
+      return;
+    }
+    ++running;
+  }
+  context->respond = [this, account, respond = std::move(context->respond)](
+                         CallerAnswer answer) {
+    Leave(account);
+    respond(std::move(answer));
+  };
+  next(std::move(context));
+}
+
+void AgreementFilter::Leave(const std::string& account) {
+  const std::lock_guard lock(mutex_);
+  --running_[account];
+}
+
+OverloadFilter::OverloadFilter(base::Scheduler& scheduler,
+                               limits::AdmissionController& admission)
+    : scheduler_(scheduler), admission_(admission) {}
+
+void OverloadFilter::Handle(ContextPtr context, Next next) {
+  if (context->request.operation != Operation::kQuery) {
+    next(std::move(context));
+    return;
+  }
+  const std::string upstream = context->request.upstream;
+  if (admission_.Enter(upstream, context->request.party) ==
+      limits::Admission::kRefused) {
+    context->Refuse(ErrorKind::kOverloaded,
+                    "the upstream can't take more work now",
+                    "ask again later, at a lower rate");
+    return;
+  }
+  const base::Instant entered = scheduler_.Now();
+  const base::Duration allowed = context->deadline - entered;
+  context->respond =
+      [this, upstream, party = context->request.party, entered, allowed,
+       respond = std::move(context->respond)](CallerAnswer answer) {
+        const bool whole = answer.query && answer.query->missing.empty();
+        admission_.Leave(
+            upstream, party, scheduler_.Now() - entered, allowed,
+            whole ? limits::Completion::kWhole : limits::Completion::kPartial);
+        respond(std::move(answer));
+      };
+  next(std::move(context));
+}
+
+CreditFilter::CreditFilter(limits::LimitController& limits,
+                           upstream::SnapshotCatalogue& snapshots)
+    : limits_(limits), snapshots_(snapshots) {}
+
+double CreditFilter::SubRequestsOf(const RequestContext& context) {
+  const CallerRequest& request = context.request;
+  const auto snapshot = snapshots_.Newest(request.upstream);
+  if (request.operation == Operation::kBooking || !request.key.empty() ||
+      !snapshot)
+    return 1;
+  std::set<uint32_t> services;
+  if (request.shards.empty())
+    services.insert(snapshot->service_of_shard.begin(),
+                    snapshot->service_of_shard.end());
+  for (const uint32_t shard : request.shards) {
+    if (shard < snapshot->shard_count())
+      services.insert(snapshot->service_of_shard[shard]);
+  }
+  return static_cast<double>(std::max<size_t>(services.size(), 1));
+}
+
+void CreditFilter::Handle(ContextPtr context, Next next) {
+  if (context->request.operation == Operation::kTicket) {
+    next(std::move(context));
+    return;
+  }
+  const std::string account =
+      AccountName(context->request.party, context->request.upstream);
+  const double amount = SubRequestsOf(*context);
+  limits_.Take(account, amount,
+               [context, next = std::move(next)](limits::TakeResult result) {
+                 if (result == limits::TakeResult::kTaken)
+                   next(context);
+                 else
+                   context->Refuse(ErrorKind::kLimitExceeded,
+                                   "the party has taken what it agreed to",
+                                   "ask at the agreed rate, or publish a "
+                                   "larger agreement");
+               });
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/booking_controller.cc
@@ -0,0 +1,227 @@
+// At most once without shared storage: the ticket names the one process that
+// may run the booking, and that process remembers what it ran.
+
+#include "LibQuery/booking_controller.h"
+
+#include <mutex>
+#include <utility>
+
+#include "LibBase/log.h"
+#include "LibQuery/root_coordinator.h"
+
+namespace query {
+
+namespace {
+
+using base::Error;
+using base::ErrorKind;
+
+constexpr base::Duration kSweepPeriod = std::chrono::seconds(10);
+
+Error BadTicket() {
+  return Error(ErrorKind::kInvalidInput, "the ticket is not one of ours",
+               "ask for a ticket and send it unchanged, under the same key");
+}
+
+Error IssuerGone() {
+  return Error(ErrorKind::kUnavailable,
+               "the process that issued the ticket has ended or is not "
+               "reachable, and may have run the booking before",
+               "look the booking up at the service before you book again");
+}
+
+Error TimedOut() {
+  return Error(ErrorKind::kTimeout,
+               "the booking has no outcome yet and may still run",
+               "repeat it with the same ticket to learn the outcome");
+}
+
+}  // namespace
+
+BookingController::BookingController(BookingDependencies dependencies,
+                                     BookingRules rules)
+    : dependencies_(std::move(dependencies)), rules_(rules) {}
+
+std::string BookingController::IssueTicket(const std::string& party) {
+  const Ticket ticket{dependencies_.node_id, dependencies_.incarnation,
+                      next_sequence_.fetch_add(1),
+                      dependencies_.scheduler.Now() + rules_.ticket_life};
+  return SealTicket(ticket, party, dependencies_.secret);
+}
+
+// Makes `callback` safe to call twice and calls it at the deadline.
+void BookingController::AnswerBy(base::Instant deadline,
+                                 BookingCallback& callback) {
+  struct Once {
+    std::mutex mutex;
+    BookingCallback callback;  // Empty once called.
+  };
+  auto once = std::make_shared<Once>();
+  once->callback = std::move(callback);
+  callback = [once](BookingOutcome outcome) {
+    BookingCallback taken;
+    {
+      const std::lock_guard lock(once->mutex);
+      taken = std::exchange(once->callback, nullptr);
+    }
+    if (taken)
+      taken(std::move(outcome));
+  };
+  dependencies_.scheduler.After(
+      deadline - dependencies_.scheduler.Now(),
+      [callback] { callback(BookingOutcome::Unknown(TimedOut())); });
+}
+
+void BookingController::Book(const std::string& text,
+                             Booking booking,
+                             base::Instant deadline,
+                             BookingCallback callback) {
+  const auto ticket = ReadTicket(text);
+  if (!ticket) {
+    callback(BookingOutcome::NotRun(BadTicket()));
+    return;
+  }
+  AnswerBy(deadline, callback);
+  if (ticket->node_id != dependencies_.node_id) {
+    dependencies_.forwarder.Forward(ticket->node_id, text, booking,
+                                    deadline - dependencies_.scheduler.Now(),
+                                    std::move(callback));
+    return;
+  }
+  if (ticket->incarnation != dependencies_.incarnation) {
+    callback(BookingOutcome::Unknown(IssuerGone()));
+    return;
+  }
+  // NOTE: A forged ticket under our incarnation can't have run anywhere.
+  if (!IsSealValid(text, booking.party, dependencies_.secret)) {
+    callback(BookingOutcome::NotRun(BadTicket()));
+    return;
+  }
+  BookHere(text, *ticket, std::move(booking), deadline, std::move(callback));
+}
+
+void BookingController::BookHere(const std::string& text,
+                                 const Ticket& ticket,
+                                 Booking booking,
+                                 base::Instant deadline,
+                                 BookingCallback callback) {
+  ForgetOld();
+  const base::Instant now = dependencies_.scheduler.Now();
+  const base::Instant forget_at = ticket.expiry + rules_.retention;
+  std::optional<BookingOutcome> known;
+  bool start = false;
+  records_.With(ticket.sequence, [&](Records& records) {
+    const auto found = records.find(ticket.sequence);
+    if (found == records.end()) {
+      if (now >= forget_at) {
+        known = BookingOutcome::Unknown(IssuerGone());
+      } else if (now >= ticket.expiry) {
+        known = BookingOutcome::NotRun(Error(ErrorKind::kTimeout,
+                                             "the ticket has expired unused",
+                                             "ask for a new ticket"));
+      } else {
+        Record& record = records[ticket.sequence];
+        record.booking = booking;
+        record.forget_at = forget_at;
+        record.waiters.push_back(std::move(callback));
+        start = true;
+      }
+    } else if (found->second.booking != booking) {
+      known = BookingOutcome::NotRun(
+          Error(ErrorKind::kConflict,
+                "the ticket belongs to another booking, which may have run",
+                "ask for a ticket for each booking"));
+    } else if (found->second.finished) {
+      known = found->second.outcome;
+    } else {
+      found->second.waiters.push_back(std::move(callback));
+    }
+  });
+  if (known)
+    callback(*std::move(known));
+  if (start)
+    StartRun(text, ticket, booking, deadline);
+}
+
+void BookingController::StartRun(const std::string& text,
+                                 const Ticket& ticket,
+                                 const Booking& booking,
+                                 base::Instant deadline) {
+  const auto snapshot = dependencies_.snapshots.Newest(booking.upstream);
+  const uint32_t shard =
+      snapshot ? ShardOfKey(booking.key, snapshot->shard_count()) : 0;
+  const uint32_t service =
+      snapshot ? snapshot->service_of_shard[shard] : upstream::kNoService;
+  std::vector<std::string> nodes;
+  if (service != upstream::kNoService)
+    nodes = dependencies_.holders()->HoldersOf(booking.upstream, service);
+  const base::Instant latest = std::min(deadline, ticket.expiry);
+  RunAt(std::move(nodes), {text, booking, service, {}}, latest,
+        ticket.sequence);
+}
+
+// Tries the holders in order for as long as each one proves that it did not
+// run the booking.
+void BookingController::RunAt(std::vector<std::string> nodes,
+                              BookingRun run,
+                              base::Instant deadline,
+                              uint64_t sequence) {
+  const base::Instant now = dependencies_.scheduler.Now();
+  if (nodes.empty() || now >= deadline) {
+    Finish(sequence, BookingOutcome::NotRun(
+                         Error(ErrorKind::kUnavailable,
+                               "no server could take the booking in time",
+                               "ask for a new ticket and book again")));
+    return;
+  }
+  const std::string node = nodes.front();
+  nodes.erase(nodes.begin());
+  run.time_left = deadline - now;
+  dependencies_.executor.Run(
+      node, run,
+      [this, nodes = std::move(nodes), run, deadline,
+       sequence](BookingOutcome outcome) mutable {
+        if (outcome.status == BookingStatus::kNotRun && !nodes.empty())
+          RunAt(std::move(nodes), std::move(run), deadline, sequence);
+        else
+          Finish(sequence, std::move(outcome));
+      });
+}
+
+void BookingController::Finish(uint64_t sequence, BookingOutcome outcome) {
+  if (outcome.status == BookingStatus::kUnknown)
+    base::Log(base::Event::kBookingUnknown,
+              {{"sequence", std::to_string(sequence)},
+               {"reason", outcome.error.message()}});
+  std::vector<BookingCallback> waiters;
+  records_.With(sequence, [&](Records& records) {
+    Record& record = records[sequence];
+    record.finished = true;
+    record.outcome = outcome;
+    waiters = std::exchange(record.waiters, {});
+  });
+  for (const BookingCallback& waiter : waiters)
+    waiter(outcome);
+}
+
+void BookingController::ForgetOld() {
+  const base::Instant now = dependencies_.scheduler.Now();
+  auto due = next_sweep_us_.load();
+  const auto now_us = now.time_since_epoch().count();
+  if (now_us < due || !next_sweep_us_.compare_exchange_strong(
+                          due, now_us + kSweepPeriod.count()))
+    return;
+  records_.ForEachShard([&](Records& records) {
+    std::erase_if(records, [&](const auto& entry) {
+      return entry.second.finished && now >= entry.second.forget_at;
+    });
+  });
+}
+
+size_t BookingController::remembered() {
+  size_t count = 0;
+  records_.ForEachShard([&](Records& records) { count += records.size(); });
+  return count;
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/booking_controller.h
@@ -0,0 +1,96 @@
+// Issues tickets, and runs the booking of a ticket at most once.
+
+#ifndef LIBQUERY_BOOKING_CONTROLLER_H_
+#define LIBQUERY_BOOKING_CONTROLLER_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+#include <vector>
+
+#include "LibBase/scheduler.h"
+#include "LibBase/sharded.h"
+#include "LibQuery/booking_link.h"
+#include "LibQuery/ticket.h"
+#include "LibRouting/holder_map.h"
+#include "LibUpstream/snapshot_catalogue.h"
+
+namespace query {
+
+struct BookingRules {
+  // A ticket may start its booking for this long.
+  base::Duration ticket_life = std::chrono::seconds(30);
+  // After expiry an outcome is remembered for this long; later the answer is
+  // kUnknown.
+  base::Duration retention = std::chrono::minutes(5);
+
+  bool operator==(const BookingRules&) const = default;
+};
+
+// What the controller works with. All outlive it.
+struct BookingDependencies {
+  std::string node_id;
+  std::string incarnation;  // Unique among all processes of all nodes.
+  std::string secret;       // Never leaves the process.
+  base::Scheduler& scheduler;
+  BookingExecutor& executor;
+  BookingForwarder& forwarder;
+  upstream::SnapshotCatalogue& snapshots;
+  std::function<std::shared_ptr<const routing::HolderMap>()> holders;
+};
+
+class BookingController {
+ public:
+  BookingController(BookingDependencies dependencies, BookingRules rules);
+
+  std::string IssueTicket(const std::string& party);
+
+  // Calls `callback` once, at the latest at `deadline`. Repeating the call
+  // with the same ticket never runs the booking again.
+  void Book(const std::string& ticket,
+            Booking booking,
+            base::Instant deadline,
+            BookingCallback callback);
+
+  size_t remembered();
+  const BookingRules& rules() const { return rules_; }
+
+ private:
+  struct Record {
+    Booking booking;
+    base::Instant forget_at;
+    bool finished = false;
+    BookingOutcome outcome;                // Meaningful once finished.
+    std::vector<BookingCallback> waiters;  // Empty once finished.
+  };
+  using Records = std::unordered_map<uint64_t, Record>;
+
+  void BookHere(const std::string& text,
+                const Ticket& ticket,
+                Booking booking,
+                base::Instant deadline,
+                BookingCallback callback);
+  void StartRun(const std::string& text,
+                const Ticket& ticket,
+                const Booking& booking,
+                base::Instant deadline);
+  void RunAt(std::vector<std::string> nodes,
+             BookingRun run,
+             base::Instant deadline,
+             uint64_t sequence);
+  void Finish(uint64_t sequence, BookingOutcome outcome);
+  void AnswerBy(base::Instant deadline, BookingCallback& callback);
+  void ForgetOld();
+
+  const BookingDependencies dependencies_;
+  const BookingRules rules_;
+  std::atomic<uint64_t> next_sequence_{1};
+  std::atomic<base::Instant::rep> next_sweep_us_{0};
+  base::Sharded<Records> records_;  // By ticket sequence.
+};
+
+}  // namespace query
+
+#endif  // LIBQUERY_BOOKING_CONTROLLER_H_
--- /dev/null
+++ b/Libraries/LibQuery/execution_filters.cc
@@ -0,0 +1,107 @@
+// Filters that count usage and run the request.
+
+#include "LibQuery/execution_filters.h"
+
+#include <utility>
+
+#include "LibQuery/admission_filters.h"
+
+namespace query {
+
+UsageFilter::UsageFilter(usage::UsageLedger& ledger,
+                         limits::LimitController& limits)
+    : ledger_(ledger), limits_(limits) {}
+
+void UsageFilter::Handle(ContextPtr context, Next next) {
+  context->respond = [this, weak = std::weak_ptr(context),
+                      respond =
+                          std::move(context->respond)](CallerAnswer answer) {
+    if (const auto shared = weak.lock())
+      Count(*shared, answer);
+    respond(std::move(answer));
+  };
+  next(std::move(context));
+}
+
+void UsageFilter::Count(const RequestContext& context,
+                        const CallerAnswer& answer) {
+  const CallerRequest& request = context.request;
+  LoadCount load;
+  if (answer.query)
+    load = answer.query->load;
+  else if (request.operation == Operation::kBooking &&
+           answer.outcome != Outcome::kNotRun)
+    load.primary = 1;
+  if (load == LoadCount())
+    return;
+  ledger_.Add(usage::CurrentDay(), request.party, request.upstream,
+              load.primary, load.extra());
+  limits_.Charge(AccountName(request.party, request.upstream),
+                 static_cast<double>(load.extra()));
+}
+
+ExecutionFilter::ExecutionFilter(RootCoordinator& coordinator,
+                                 BookingController& bookings)
+    : coordinator_(coordinator), bookings_(bookings) {}
+
+void ExecutionFilter::Handle(ContextPtr context, Next) {
+  switch (context->request.operation) {
+    case Operation::kQuery:
+      RunQuery(context);
+      return;
+    case Operation::kBooking:
+      RunBooking(context);
+      return;
+    case Operation::kTicket:
+      CallerAnswer answer;
+      answer.outcome = Outcome::kAnswered;
+      answer.ticket = bookings_.IssueTicket(context->request.party);
+      answer.ticket_life = bookings_.rules().ticket_life;
+      context->respond(std::move(answer));
+      return;
+  }
+}
+
+void ExecutionFilter::RunQuery(const ContextPtr& context) {
+  const CallerRequest& request = context->request;
+  RootRequest root{context->request_id, request.party,
+                   request.upstream,    request.query,
+                   request.shards,      request.key,
+                   context->deadline,   context->ask->extra_load_share};
+  coordinator_.Execute(std::move(root),
+                       [context](base::Result<RootAnswer> result) {
+                         CallerAnswer answer;
+                         if (result) {
+                           answer.outcome = Outcome::kAnswered;
+                           answer.query = *std::move(result);
+                         } else {
+                           answer.error = std::move(result).error();
+                         }
+                         context->respond(std::move(answer));
+                       });
+}
+
+void ExecutionFilter::RunBooking(const ContextPtr& context) {
+  const CallerRequest& request = context->request;
+  bookings_.Book(request.ticket,
+                 {request.party, request.upstream, request.key, request.body},
+                 context->deadline, [context](BookingOutcome outcome) {
+                   CallerAnswer answer;
+                   switch (outcome.status) {
+                     case BookingStatus::kAnswered:
+                       answer.outcome = Outcome::kAnswered;
+                       answer.booking = std::move(outcome.answer);
+                       break;
+                     case BookingStatus::kNotRun:
+                       answer.error = std::move(outcome.error);
+                       break;
+                     case BookingStatus::kUnknown:
+                       answer.outcome = Outcome::kUnknown;
+                       answer.error = std::move(outcome.error);
+                       break;
+                   }
+                   context->respond(std::move(answer));
+                 });
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/http_booking_transport.h
@@ -0,0 +1,34 @@
+// Bookings over HTTP, each on a connection of its own.
+
+#ifndef LIBQUERY_HTTP_BOOKING_TRANSPORT_H_
+#define LIBQUERY_HTTP_BOOKING_TRANSPORT_H_
+
+#include <functional>
+#include <memory>
+#include <string>
+
+#include "LibQuery/booking_link.h"
+#include "LibUpstream/connection_pool.h"
+
+namespace query {
+
+class HttpBookingTransport final : public BookingTransport {
+ public:
+  // `max_connections` tells this node's budget for a server.
+  HttpBookingTransport(
+      std::shared_ptr<upstream::ConnectionPool> pool,
+      std::function<int(const std::string& upstream)> max_connections);
+
+  void Send(const std::string& address,
+            const BookingRun& run,
+            std::function<bool()> may_send,
+            BookingCallback callback) override;
+
+ private:
+  const std::shared_ptr<upstream::ConnectionPool> pool_;
+  const std::function<int(const std::string&)> max_connections_;
+};
+
+}  // namespace query
+
+#endif  // LIBQUERY_HTTP_BOOKING_TRANSPORT_H_
--- /dev/null
+++ b/Libraries/LibQuery/leaf_client.h
@@ -0,0 +1,27 @@
+// Leaf requests to other nodes, as an interface.
+
+#ifndef LIBQUERY_LEAF_CLIENT_H_
+#define LIBQUERY_LEAF_CLIENT_H_
+
+#include <functional>
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibQuery/leaf_message.h"
+
+namespace query {
+
+class LeafClient {
+ public:
+  virtual ~LeafClient() = default;
+
+  using Callback = std::function<void(base::Result<LeafAnswer>)>;
+  // Calls `callback` once, never from within Execute.
+  virtual void Execute(const std::string& node_id,
+                       const LeafRequest& request,
+                       Callback callback) = 0;
+};
+
+}  // namespace query
+
+#endif  // LIBQUERY_LEAF_CLIENT_H_
--- /dev/null
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -0,0 +1,68 @@
+// Runs a leaf request on the servers whose connections this node holds:
+// chooses replicas, hedges, retries within a budget, merges.
+
+#ifndef LIBQUERY_LEAF_EXECUTOR_H_
+#define LIBQUERY_LEAF_EXECUTOR_H_
+
+#include <functional>
+#include <memory>
+
+#include "LibBase/random.h"
+#include "LibBase/scheduler.h"
+#include "LibConfig/configuration.h"
+#include "LibQuery/leaf_message.h"
+#include "LibRouting/holder_map.h"
+#include "LibUpstream/hedge_policy.h"
+#include "LibUpstream/replica_policy.h"
+#include "LibUpstream/server_table.h"
+#include "LibUpstream/transport.h"
+
+namespace query {
+
+using LeafCallback = std::function<void(LeafAnswer)>;
+
+// Whether replicas are chosen by what is known of them, or at random as the
+// baseline does.
+enum class ReplicaChoice { kLeastExpectedWait, kRandom };
+
+struct LeafRules {
+  routing::HolderRules holders;
+  ReplicaChoice replica_choice = ReplicaChoice::kLeastExpectedWait;
+  // Hedging waits while more than this share of a request's services is
+  // still open: then the upstream is slow, not a few of its servers.
+  double slow_upstream_share = 0.35;
+  // Calls that one service of one request may cause, the first included.
+  int max_attempts = 3;
+
+  bool operator==(const LeafRules&) const = default;
+};
+
+// What the executor works with. All outlive it.
+struct LeafDependencies {
+  base::Scheduler& scheduler;
+  base::Random& random;
+  upstream::Transport& transport;
+  upstream::ServerTable& servers;
+  upstream::HedgePolicy& hedges;
+  upstream::ExtraLoadBudget& budget;
+  // Told when a server refuses work because it leaves.
+  std::function<void(const std::string& address)> on_leaving;
+};
+
+class LeafExecutor {
+ public:
+  LeafExecutor(LeafDependencies dependencies, LeafRules rules);
+
+  // Calls `callback` once, at the latest when the request's time is over.
+  void Execute(config::ConfigurationPtr configuration,
+               LeafRequest request,
+               LeafCallback callback);
+
+ private:
+  const std::shared_ptr<const LeafDependencies> dependencies_;
+  const LeafRules rules_;
+};
+
+}  // namespace query
+
+#endif  // LIBQUERY_LEAF_EXECUTOR_H_
--- /dev/null
+++ b/Libraries/LibQuery/leaf_message.cc
@@ -0,0 +1,46 @@
+// The check that ties a leaf's answer to its request.
+
+#include "LibQuery/leaf_message.h"
+
+#include <algorithm>
+
+namespace query {
+
+std::string_view MissingReasonName(MissingReason reason) {
+  switch (reason) {
+    case MissingReason::kNoServer:
+      return "no_server";
+    case MissingReason::kOverloaded:
+      return "overloaded";
+    case MissingReason::kTimeout:
+      return "timeout";
+    case MissingReason::kBrokenAnswer:
+      return "broken_answer";
+    case MissingReason::kVersionGone:
+      return "version_gone";
+    case MissingReason::kNoConnection:
+      return "no_connection";
+    case MissingReason::kLeafUnreachable:
+      return "leaf_unreachable";
+  }
+  return "timeout";
+}
+
+bool IsAnswerTo(const LeafAnswer& answer, const LeafRequest& request) {
+  if (answer.request_id != request.request_id ||
+      answer.version != request.version)
+    return false;
+  std::vector<uint32_t> named;
+  std::ranges::transform(answer.results, std::back_inserter(named),
+                         &upstream::ShardResult::shard);
+  std::ranges::transform(answer.missing, std::back_inserter(named),
+                         &MissingShard::shard);
+  std::vector<uint32_t> asked;
+  for (const ServiceShards& service : request.work)
+    std::ranges::copy(service.shards, std::back_inserter(asked));
+  std::ranges::sort(named);
+  std::ranges::sort(asked);
+  return named == asked;
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/leaf_message.h
@@ -0,0 +1,87 @@
+// What a root asks of a leaf, and the leaf's answer.
+
+#ifndef LIBQUERY_LEAF_MESSAGE_H_
+#define LIBQUERY_LEAF_MESSAGE_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibUpstream/shard_call.h"
+
+namespace query {
+
+enum class MissingReason : uint8_t {
+  kNoServer,  // No server that may take new work holds the shard.
+  kOverloaded,
+  kTimeout,
+  kBrokenAnswer,
+  kVersionGone,
+  kNoConnection,
+  kLeafUnreachable,
+};
+
+std::string_view MissingReasonName(MissingReason reason);
+
+struct MissingShard {
+  uint32_t shard = 0;
+  MissingReason reason = MissingReason::kTimeout;
+
+  auto operator<=>(const MissingShard&) const = default;
+};
+
+// The shards of one service.
+struct ServiceShards {
+  uint32_t service = 0;
+  std::vector<uint32_t> shards;
+
+  bool operator==(const ServiceShards&) const = default;
+};
+
+struct LeafRequest {
+  std::string request_id;  // Unique over all requests and leaves.
+  std::string party;
+  std::string upstream;
+  uint64_t version = 0;
+  uint32_t shard_count = 0;
+  std::vector<ServiceShards> work;
+  std::string query;
+  base::Duration time_left{};
+  double extra_load_share = 0;
+
+  bool operator==(const LeafRequest&) const = default;
+};
+
+// Sub-requests that were sent to servers.
+struct LoadCount {
+  uint64_t primary = 0;
+  uint64_t hedges = 0;
+  uint64_t retries = 0;
+
+  uint64_t extra() const { return hedges + retries; }
+  LoadCount operator+(const LoadCount& other) const {
+    return {primary + other.primary, hedges + other.hedges,
+            retries + other.retries};
+  }
+  bool operator==(const LoadCount&) const = default;
+};
+
+struct LeafAnswer {
+  std::string request_id;
+  uint64_t version = 0;
+  std::vector<upstream::ShardResult> results;
+  // Invariant: results and missing name each shard asked for exactly once.
+  std::vector<MissingShard> missing;
+  LoadCount load;
+
+  bool operator==(const LeafAnswer&) const = default;
+};
+
+// Whether `answer` belongs to `request` and names each of its shards once.
+bool IsAnswerTo(const LeafAnswer& answer, const LeafRequest& request);
+
+}  // namespace query
+
+#endif  // LIBQUERY_LEAF_MESSAGE_H_
--- /dev/null
+++ b/Libraries/LibQuery/ticket.cc
@@ -0,0 +1,77 @@
+// Ticket text: NODE.INCARNATION.SEQUENCE.EXPIRY_US.MAC
+
+#include "LibQuery/ticket.h"
+
+#include <algorithm>
+#include <charconv>
+#include <ranges>
+#include <vector>
+
+#include "LibBase/digest.h"
+
+namespace query {
+
+namespace {
+
+constexpr size_t kMaxTicketBytes = 512;
+constexpr size_t kFields = 5;
+
+std::string SealedPart(const Ticket& ticket) {
+  return ticket.node_id + "." + ticket.incarnation + "." +
+         std::to_string(ticket.sequence) + "." +
+         std::to_string(ticket.expiry.time_since_epoch().count());
+}
+
+std::string Mac(std::string_view sealed,
+                std::string_view party,
+                std::string_view key) {
+  return base::HmacSha256Hex(key,
+                             std::string(party) + "\n" + std::string(sealed));
+}
+
+template <typename Number>
+std::optional<Number> ParseNumber(std::string_view text) {
+  Number number = 0;
+  const char* end = text.data() + text.size();
+  const auto result = std::from_chars(text.data(), end, number);
+  if (result.ec != std::errc() || result.ptr != end)
+    return std::nullopt;
+  return number;
+}
+
+}  // namespace
+
+std::string SealTicket(const Ticket& ticket,
+                       std::string_view party,
+                       std::string_view key) {
+  const std::string sealed = SealedPart(ticket);
+  return sealed + "." + Mac(sealed, party, key);
+}
+
+std::optional<Ticket> ReadTicket(std::string_view text) {
+  if (text.size() > kMaxTicketBytes)
+    return std::nullopt;
+  std::vector<std::string_view> fields;
+  for (const auto field : std::views::split(text, '.'))
+    fields.emplace_back(field.begin(), field.end());
+  if (fields.size() != kFields || fields[0].empty())
+    return std::nullopt;
+  const auto sequence = ParseNumber<uint64_t>(fields[2]);
+  const auto expiry = ParseNumber<int64_t>(fields[3]);
+  if (!sequence || !expiry)
+    return std::nullopt;
+  return Ticket{std::string(fields[0]), std::string(fields[1]), *sequence,
+                base::Instant(base::Duration(*expiry))};
+}
+
+bool IsSealValid(std::string_view text,
+                 std::string_view party,
+                 std::string_view key) {
+  const size_t dot = text.rfind('.');
+  if (dot == std::string_view::npos)
+    return false;
+  return base::ConstantTimeEquals(text.substr(dot + 1),
+                                  Mac(text.substr(0, dot), party, key));
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibRouting/cluster_view.cc
@@ -0,0 +1,130 @@
+// Roles by rendezvous hashing over the members of one view.
+
+#include "LibRouting/cluster_view.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace routing {
+
+using membership::Member;
+
+namespace {
+
+uint64_t ScoreOf(const Member& member, const std::string& key) {
+  return base::StableHash(member.node_id, base::StableHash(key));
+}
+
+}  // namespace
+
+ClusterView::ClusterView(std::string self,
+                         std::vector<Member> members,
+                         config::ConfigurationPtr configuration,
+                         HolderRules rules)
+    : self_(std::move(self)),
+      members_(std::move(members)),
+      configuration_(std::move(configuration)),
+      rules_(rules),
+      holders_(configuration_->upstreams, members_, rules) {
+  if (const Member* own = FindMember(self_))
+    zone_ = own->availability_zone;
+}
+
+const Member* ClusterView::FindMember(const std::string& node_id) const {
+  const auto found = std::ranges::find(members_, node_id, &Member::node_id);
+  return found == members_.end() ? nullptr : &*found;
+}
+
+const Member* ClusterView::OwnerOf(const std::string& key) const {
+  const Member* owner = nullptr;
+  for (const Member& member : members_) {
+    if (member.is_usable() &&
+        (!owner || ScoreOf(member, key) > ScoreOf(*owner, key)))
+      owner = &member;
+  }
+  return owner;
+}
+
+bool ClusterView::IsOwner(const std::string& key) const {
+  const Member* owner = OwnerOf(key);
+  return owner && owner->node_id == self_;
+}
+
+std::vector<const Member*> ClusterView::RankZone(
+    const std::string& task) const {
+  std::vector<const Member*> ranked;
+  for (const Member& member : members_) {
+    if (member.is_usable() && member.availability_zone == zone_)
+      ranked.push_back(&member);
+  }
+  std::ranges::sort(ranked, std::greater<>(), [&](const Member* member) {
+    return ScoreOf(*member, task);
+  });
+  return ranked;
+}
+
+bool ClusterView::IsZoneDelegate(const std::string& task, size_t count) const {
+  const auto ranked = RankZone(task);
+  const auto end =
+      ranked.begin() + static_cast<ptrdiff_t>(std::min(count, ranked.size()));
+  return std::any_of(ranked.begin(), end, [&](const Member* member) {
+    return member->node_id == self_;
+  });
+}
+
+const Member* ClusterView::ZoneDelegate(const std::string& task) const {
+  const auto ranked = RankZone(task);
+  return ranked.empty() ? nullptr : ranked.front();
+}
+
+const Member* ClusterView::RemoteKeeper(const std::string& task) const {
+  const Member* keeper = nullptr;
+  for (const Member& member : members_) {
+    if (member.is_usable() && member.availability_zone != zone_ &&
+        (!keeper || ScoreOf(member, task) > ScoreOf(*keeper, task)))
+      keeper = &member;
+  }
+  return keeper;
+}
+
+double ClusterView::GrantableFraction() const {
+  const auto usable =
+      static_cast<double>(std::ranges::count_if(members_, &Member::is_usable));
+  const double planned = rules_.planned_nodes;
+  return usable * 2 > planned ? 1.0 : usable / planned;
+}
+
+std::vector<std::string> ClusterView::SampleCallerAddresses(
+    size_t count,
+    base::Random& random) const {
+  std::vector<std::string> addresses;
+  for (const Member& member : members_) {
+    if (member.is_usable())
+      addresses.push_back(member.caller_address);
+  }
+  for (size_t i = addresses.size(); i > 1; --i)
+    std::swap(addresses[i - 1], addresses[random.Below(i)]);
+  addresses.resize(std::min(count, addresses.size()));
+  return addresses;
+}
+
+ClusterViewController::ClusterViewController(std::string self,
+                                             HolderRules rules)
+    : self_(std::move(self)), rules_(rules) {
+  Update({}, std::make_shared<config::Configuration>());
+}
+
+void ClusterViewController::Update(std::vector<Member> members,
+                                   config::ConfigurationPtr configuration) {
+  auto view = std::make_shared<const ClusterView>(
+      self_, std::move(members), std::move(configuration), rules_);
+  const std::lock_guard lock(mutex_);
+  current_ = std::move(view);
+}
+
+ClusterViewPtr ClusterViewController::Current() {
+  const std::lock_guard lock(mutex_);
+  return current_;
+}
+
+}  // namespace routing
--- /dev/null
+++ b/Libraries/LibUpstream/http_transport.h
@@ -0,0 +1,59 @@
+// Shard calls and status reads over pooled HTTP connections.
+
+#ifndef LIBUPSTREAM_HTTP_TRANSPORT_H_
+#define LIBUPSTREAM_HTTP_TRANSPORT_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "LibBase/sharded.h"
+#include "LibUpstream/connection_pool.h"
+#include "LibUpstream/report.h"
+#include "LibUpstream/transport.h"
+
+namespace upstream {
+
+class HttpTransport final : public Transport {
+ public:
+  explicit HttpTransport(std::shared_ptr<ConnectionPool> pool);
+  ~HttpTransport() override;
+
+  CallId Start(const ServerTarget& target,
+               const ShardCall& call,
+               base::Duration timeout,
+               ShardCallback callback) override;
+  void Cancel(CallId call) override;
+  void DropWaiting(const std::string& address) override;
+
+  using ReportCallback = std::function<void(base::Result<ServerReport>)>;
+  // Reads the server's report.
+  void FetchReport(const ServerTarget& target,
+                   base::Duration timeout,
+                   ReportCallback callback);
+
+ private:
+  struct Call;
+  struct State;
+  static void Run(const std::shared_ptr<State>& state,
+                  const std::shared_ptr<Call>& call,
+                  ConnectionPool::ConnectionPtr connection);
+  static void OnResult(const std::shared_ptr<State>& state,
+                       const std::shared_ptr<Call>& call,
+                       ConnectionPool::ConnectionPtr connection,
+                       bool was_used,
+                       http::ExchangeResult result);
+  CallId StartCall(std::shared_ptr<Call> call);
+
+  const std::shared_ptr<State> state_;
+};
+
+// What a server's HTTP answer means. The header Shard-Refusal marks answers
+// of servers that did not run the request.
+std::optional<ShardFailure> RefusalOf(const http::Response& response);
+
+}  // namespace upstream
+
+#endif  // LIBUPSTREAM_HTTP_TRANSPORT_H_
--- /dev/null
+++ b/Libraries/LibUpstream/replica_policy.cc
@@ -0,0 +1,49 @@
+// Replica policies.
+
+#include "LibUpstream/replica_policy.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace upstream {
+
+namespace {
+
+constexpr uint64_t kExplorePeriod = 100;
+// Stands in while no latency is known.
+constexpr double kUnknownLatencyUs = 1000;
+
+}  // namespace
+
+size_t RandomReplicaPolicy::Choose(std::span<const ServerView> candidates,
+                                   base::Random& random) const {
+  return random.Below(candidates.size());
+}
+
+double LeastExpectedWaitPolicy::ExpectedWait(const ServerView& view) const {
+  const auto known = static_cast<double>(view.latency.count());
+  const double latency = known == 0 ? kUnknownLatencyUs : known;
+  const double queue = static_cast<double>(view.outstanding) / slots_;
+  return latency * (1 + queue);
+}
+
+size_t LeastExpectedWaitPolicy::Choose(std::span<const ServerView> candidates,
+                                       base::Random& random) const {
+  const size_t offset = random.Below(candidates.size());
+  if (random.Below(kExplorePeriod) == 0)
+    return offset;
+  // Starting at a random place keeps equal replicas equally used.
+  size_t best = offset;
+  double best_wait = std::numeric_limits<double>::max();
+  for (size_t step = 0; step < candidates.size(); ++step) {
+    const size_t index = (offset + step) % candidates.size();
+    const double wait = ExpectedWait(candidates[index]);
+    if (wait < best_wait) {
+      best = index;
+      best_wait = wait;
+    }
+  }
+  return best;
+}
+
+}  // namespace upstream
--- /dev/null
+++ b/Libraries/LibUpstream/report.h
@@ -0,0 +1,47 @@
+// What a server says of itself. Reports lag, so a report is trusted for which
+// index versions exist, and its load only as a hint.
+
+#ifndef LIBUPSTREAM_REPORT_H_
+#define LIBUPSTREAM_REPORT_H_
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "LibBase/error.h"
+
+namespace upstream {
+
+enum class ServerPhase : uint8_t { kServing, kLeaving };
+
+// An index version that a server can answer from.
+struct HeldIndex {
+  uint64_t version = 0;
+  uint32_t shard_count = 0;  // Of the whole upstream at this version.
+  std::vector<uint32_t> shards;
+
+  bool operator==(const HeldIndex&) const = default;
+};
+
+struct ServerReport {
+  std::string address;
+  uint64_t incarnation = 0;  // Of the server process.
+  uint64_t sequence = 0;     // Raised by the server with every change.
+  ServerPhase phase = ServerPhase::kServing;
+  std::vector<HeldIndex> held;
+
+  // Whether this report was made after `other`.
+  bool IsNewerThan(const ServerReport& other) const {
+    return incarnation != other.incarnation ? incarnation > other.incarnation
+                                            : sequence > other.sequence;
+  }
+  bool operator==(const ServerReport&) const = default;
+};
+
+std::string SerializeReport(const ServerReport& report);
+base::Result<ServerReport> ParseReport(std::string_view text);
+
+}  // namespace upstream
+
+#endif  // LIBUPSTREAM_REPORT_H_
--- /dev/null
+++ b/Libraries/LibUpstream/report_poller.h
@@ -0,0 +1,47 @@
+// Reads the reports of the servers whose connections this node holds.
+
+#ifndef LIBUPSTREAM_REPORT_POLLER_H_
+#define LIBUPSTREAM_REPORT_POLLER_H_
+
+#include <functional>
+#include <memory>
+#include <vector>
+
+#include "LibBase/scheduler.h"
+#include "LibUpstream/http_transport.h"
+#include "LibUpstream/server_table.h"
+
+namespace upstream {
+
+class ReportPoller : public std::enable_shared_from_this<ReportPoller> {
+ public:
+  using TargetsOf = std::function<std::vector<ServerTarget>()>;
+  using Listener = std::function<void(const ServerReport&)>;
+
+  static std::shared_ptr<ReportPoller> Create(base::Scheduler& scheduler,
+                                              HttpTransport& transport,
+                                              ServerTable& servers,
+                                              TargetsOf targets_of,
+                                              Listener listener);
+
+  void Start() { RunRound(); }
+
+ private:
+  ReportPoller(base::Scheduler& scheduler,
+               HttpTransport& transport,
+               ServerTable& servers,
+               TargetsOf targets_of,
+               Listener listener);
+  void RunRound();
+  void Poll(const ServerTarget& target);
+
+  base::Scheduler& scheduler_;
+  HttpTransport& transport_;
+  ServerTable& servers_;
+  const TargetsOf targets_of_;
+  const Listener listener_;
+};
+
+}  // namespace upstream
+
+#endif  // LIBUPSTREAM_REPORT_POLLER_H_
--- /dev/null
+++ b/Libraries/LibUpstream/server_table.cc
@@ -0,0 +1,101 @@
+// Health of servers, fed by this node's own calls first and reports second.
+
+#include "LibUpstream/server_table.h"
+
+#include <algorithm>
+#include <cassert>
+
+namespace upstream {
+
+namespace {
+
+// Weight of one new latency sample.
+constexpr double kLatencyGain = 0.2;
+constexpr base::Duration kUnreachablePause = std::chrono::milliseconds(500);
+
+}  // namespace
+
+ServerView ServerTable::ToView(const std::string& address,
+                               const Entry& entry,
+                               base::Instant now) {
+  const bool leaving = entry.leaving_incarnation &&
+                       *entry.leaving_incarnation >= entry.known_incarnation;
+  return {address, entry.outstanding,
+          base::Duration(static_cast<int64_t>(entry.latency_us)), leaving,
+          now < entry.unreachable_until};
+}
+
+ServerView ServerTable::View(const std::string& address, base::Instant now) {
+  return entries_.With(address, [&](auto& entries) {
+    return ToView(address, entries[address], now);
+  });
+}
+
+void ServerTable::OnCallStarted(const std::string& address) {
+  entries_.With(address,
+                [&](auto& entries) { ++entries[address].outstanding; });
+}
+
+void ServerTable::OnCallEnded(const std::string& address,
+                              CallEnd end,
+                              base::Duration elapsed,
+                              base::Instant now) {
+  entries_.With(address, [&](auto& entries) {
+    Entry& entry = entries[address];
+    --entry.outstanding;
+    assert(entry.outstanding >= 0);
+    const auto sample = static_cast<double>(elapsed.count());
+    // NOTE: An abandoned call only shows that the latency is no less.
+    if (end == CallEnd::kAbandoned && sample < entry.latency_us)
+      return;
+    if (end == CallEnd::kFailed)
+      return;
+    if (end == CallEnd::kAnswered)
+      entry.unreachable_until = std::min(entry.unreachable_until, now);
+    entry.latency_us =
+        entry.latency_us == 0
+            ? sample
+            : entry.latency_us * (1 - kLatencyGain) + sample * kLatencyGain;
+  });
+}
+
+void ServerTable::OnUnreachable(const std::string& address, base::Instant now) {
+  entries_.With(address, [&](auto& entries) {
+    entries[address].unreachable_until = now + kUnreachablePause;
+  });
+}
+
+bool ServerTable::MarkLeaving(const std::string& address,
+                              uint64_t incarnation) {
+  return entries_.With(address, [&](auto& entries) {
+    Entry& entry = entries[address];
+    const uint64_t leaving =
+        incarnation == 0 ? entry.known_incarnation : incarnation;
+    if (entry.leaving_incarnation && *entry.leaving_incarnation >= leaving)
+      return false;
+    entry.leaving_incarnation = leaving;
+    return leaving >= entry.known_incarnation;
+  });
+}
+
+bool ServerTable::OnReport(const ServerReport& report) {
+  entries_.With(report.address, [&](auto& entries) {
+    Entry& entry = entries[report.address];
+    entry.known_incarnation =
+        std::max(entry.known_incarnation, report.incarnation);
+  });
+  return report.phase == ServerPhase::kLeaving &&
+         MarkLeaving(report.address, report.incarnation);
+}
+
+std::vector<ServerView> ServerTable::Dump(base::Instant now) {
+  std::vector<ServerView> views;
+  entries_.ForEachShard([&](auto& entries) {
+    for (const auto& [address, entry] : entries)
+      views.push_back(ToView(address, entry, now));
+  });
+  std::ranges::sort(views, {}, &ServerView::address);
+  return views;
+}
+
+}  // namespace upstream
--- /dev/null
+++ b/Libraries/LibUpstream/snapshot_catalogue.h
@@ -0,0 +1,66 @@
+// Which index versions can be queried as a whole, from the servers' reports.
+
+#ifndef LIBUPSTREAM_SNAPSHOT_CATALOGUE_H_
+#define LIBUPSTREAM_SNAPSHOT_CATALOGUE_H_
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <vector>
+
+#include "LibConfig/configuration.h"
+#include "LibUpstream/report.h"
+
+namespace upstream {
+
+// Marks a shard that no server has reported.
+inline constexpr uint32_t kNoService = UINT32_MAX;
+
+// An index version with its shard map. Immutable.
+struct Snapshot {
+  uint64_t version = 0;
+  // Index of the service that holds each shard, or kNoService.
+  std::vector<uint32_t> service_of_shard;
+
+  uint32_t shard_count() const {
+    return static_cast<uint32_t>(service_of_shard.size());
+  }
+  bool operator==(const Snapshot&) const = default;
+};
+
+using SnapshotPtr = std::shared_ptr<const Snapshot>;
+
+class SnapshotCatalogue {
+ public:
+  // Forgets servers that the configuration no longer lists.
+  void SetConfiguration(config::ConfigurationPtr configuration);
+
+  // Returns whether the report was newer than what was known.
+  bool OnReport(const ServerReport& report);
+
+  // The newest version that every shard has a serving server for; failing
+  // that, the version with the most shards served. Null while none is known.
+  SnapshotPtr Newest(const std::string& upstream);
+
+  std::vector<ServerReport> Reports();
+
+ private:
+  struct Place {
+    std::string upstream;
+    uint32_t service = 0;
+  };
+  SnapshotPtr Compute(const std::string& upstream) const;
+
+  std::mutex mutex_;
+  // All guarded by `mutex_`.
+  config::ConfigurationPtr configuration_;
+  std::map<std::string, Place> places_;  // By server address.
+  std::map<std::string, ServerReport> reports_;
+  std::map<std::string, SnapshotPtr> newest_;  // Empty entries are stale.
+};
+
+}  // namespace upstream
+
+#endif  // LIBUPSTREAM_SNAPSHOT_CATALOGUE_H_
--- /dev/null
+++ b/Meta/example.sh
@@ -0,0 +1,123 @@
+#!/usr/bin/env bash
+# Runs a deployment of Examples/ on this machine: stand-ins for all that lies
+# outside the tier and 4 entry hosts, each a process with addresses of its own.
+# Publishes, asks, checks the answers against what the servers hold, and stops
+# every process that it started.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+deployment=${1:?usage: Meta/example.sh sljeme-najam|nabiralnica-vrtovi}
+example=Examples/$deployment
+[ -d "$example" ] || { echo "no deployment $deployment" >&2; exit 2; }
+
+case $deployment in
+  sljeme-najam)
+    net=1; search=counter-desk; search_party=counter-team
+    ledger=store-ledger; ledger_party=stores-team
+    booking=booking-web; booking_party=counter-team ;;
+  nabiralnica-vrtovi)
+    net=2; search=pickfinder; search_party=visitors
+    ledger=harvestbooks; ledger_party=growers
+    booking=gatepass; booking_party=visitors ;;
+esac
+store=127.0.$net.1:7000
+hosts=127.0.$net.1:7001
+control=127.0.$net.1:7002
+
+Meta/packages.sh
+Meta/build.sh
+bin=build/celerycroft
+stand_ins=build/Tests/celerycroft-standins
+logs=$(mktemp -d)
+pids=()
+
+stop_all() {
+  for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
+  for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  rm -rf "$logs"
+}
+trap stop_all EXIT
+
+"$stand_ins" serve "$example/agreements" "$store" "$hosts" "$control" \
+  2>"$logs/stand-ins" & pids+=($!)
+for settings in "$example"/nodes/*.json; do
+  "$bin" node --settings "$settings" 2>"$logs/$(basename "$settings")" &
+  pids+=($!)
+done
+
+wait_for() { # DESCRIPTION COMMAND...
+  local what=$1; shift
+  for _ in $(seq 100); do
+    if "$@" >/dev/null 2>&1; then return 0; fi
+    sleep 0.1
+  done
+  echo "$what did not come about; the logs say:" >&2
+  tail -n 5 "$logs"/* >&2
+  exit 1
+}
+
+knows_all_nodes() {
+  [ "$("$bin" dump --operator 127.0.$net.11:8081 --json |
+    grep -o '"nodeId"' | wc -l)" -ge 5 ]
+}
+ask() { # PARTY COMMAND...
+  local party=$1 command=$2; shift 2
+  "$bin" "$command" --host 127.0.$net.1"$entry":8080 --party "$party" \
+    --key-file "$example/keys/$party.key" "$@"
+}
+
+entry=1
+wait_for "the nodes' meeting" knows_all_nodes
+echo "== publish"
+"$bin" check --settings "$example"/nodes/*-1.json "$example/agreements"
+"$bin" publish "$example/agreements" --store "$store" \
+  --operator 127.0.$net.11:8081
+wait_for "a whole index" ask "$search_party" query --upstream "$search" \
+  --text ready
+
+echo "== addresses"
+for entry in 1 2 3 4; do
+  echo "host $entry names:" $("$bin" addresses --host 127.0.$net.1"$entry":8080)
+done
+
+echo "== search over all shards of $search, through each entry host"
+for entry in 1 2 3 4; do
+  ask "$search_party" query --upstream "$search" --text "size 42" --json \
+    >"$logs/answer"
+  "$stand_ins" check-query "$example/agreements" "$search" "size 42" \
+    <"$logs/answer"
+done
+ask "$search_party" query --upstream "$search" --text "size 42" | head -n 3
+
+echo "== one store's ledger"
+entry=2
+ask "$ledger_party" query --upstream "$ledger" --text "stock of store 17" \
+  --key store-17 --json >"$logs/answer"
+"$stand_ins" check-query "$example/agreements" "$ledger" "stock of store 17" \
+  <"$logs/answer"
+
+echo "== a booking, then the same ticket at another entry host"
+entry=3
+ticket=$(ask "$booking_party" ticket)
+first=$(ask "$booking_party" book --upstream "$booking" --key helmet-7 \
+  --text "helmet 7, size 58" --ticket "$ticket")
+entry=4
+second=$(ask "$booking_party" book --upstream "$booking" --key helmet-7 \
+  --text "helmet 7, size 58" --ticket "$ticket")
+echo "$first"
+[ "$first" = "$second" ] || { echo "the answers differ: $second" >&2; exit 1; }
+runs=$("$stand_ins" count-bookings "$control")
+echo "runs that the servers recorded: $runs"
+[ "$runs" = 1 ] || { echo "it should be 1" >&2; exit 1; }
+
+echo "== a wrong key"
+entry=1
+echo wrong >"$logs/wrong.key"
+if "$bin" query --host 127.0.$net.11:8080 --party "$search_party" \
+    --key-file "$logs/wrong.key" --upstream "$search" --text x; then
+  echo "it was let in" >&2; exit 1
+fi
+
+echo "== what was taken this month"
+sleep 6
+"$bin" reckon "$(date -u +%Y-%m)" --store "$store"
+echo "== done"
--- /dev/null
+++ b/Services/celerycroft/node_links.cc
@@ -0,0 +1,231 @@
+// Ties the interfaces of the controllers to the peer network.
+
+#include "node_links.h"
+
+#include <boost/asio/post.hpp>
+#include <utility>
+
+#include "LibBase/log.h"
+#include "LibPlatform/manifest_watcher.h"
+
+namespace celerycroft {
+
+using base::Error;
+using base::ErrorKind;
+using query::BookingOutcome;
+
+namespace {
+
+constexpr base::Duration kContentTimeout = std::chrono::milliseconds(500);
+constexpr size_t kContentPeers = 4;
+
+Error UnknownNode(const std::string& node_id) {
+  return Error(ErrorKind::kUnavailable, "node " + node_id + " is not known",
+               "look at the node's process, and at peerSeeds of the settings");
+}
+
+void LogFailure(std::string_view call, const Error& error) {
+  base::Log(base::Event::kPeerCallFailed,
+            {{"call", std::string(call)}, {"reason", error.message()}});
+}
+
+}  // namespace
+
+NodeLinks::NodeLinks(boost::asio::io_context& io,
+                     routing::ClusterViewController& views)
+    : io_(io), views_(views) {}
+
+std::string NodeLinks::AddressOf(const std::string& node_id) {
+  const auto view = views_.Current();
+  const membership::Member* member = view->FindMember(node_id);
+  const bool reachable =
+      member && member->state != membership::MemberState::kDead;
+  return reachable ? member->peer_address : "";
+}
+
+void NodeLinks::Post(std::function<void()> task) {
+  boost::asio::post(io_, std::move(task));
+}
+
+void NodeLinks::Gossip(const std::string& peer_address,
+                       membership::GossipMessage message,
+                       base::Duration timeout,
+                       GossipCallback callback) {
+  network_->Gossip(peer_address, std::move(message), timeout,
+                   [callback = std::move(callback)](auto result) {
+                     if (result)
+                       callback(*std::move(result));
+                     else
+                       callback(tl::make_unexpected(result.error().error));
+                   });
+}
+
+void NodeLinks::ProbeVia(const std::string& via_address,
+                         const std::string& target_address,
+                         base::Duration timeout,
+                         ProbeCallback callback) {
+  network_->Probe(via_address, target_address, timeout,
+                  [callback = std::move(callback)](auto result) {
+                    callback(result && *result ? Reachability::kReachable
+                                               : Reachability::kUnreachable);
+                  });
+}
+
+void NodeLinks::Execute(const std::string& node_id,
+                        const query::LeafRequest& request,
+                        query::LeafClient::Callback callback) {
+  // NOTE: Posted, since the caller holds its lock.
+  if (node_id == local_.node_id) {
+    Post([this, request, callback = std::move(callback)]() mutable {
+      local_.execute_leaf(std::move(request), [callback](auto answer) {
+        callback(std::move(answer));
+      });
+    });
+    return;
+  }
+  const std::string address = AddressOf(node_id);
+  if (address.empty()) {
+    Post([node_id, callback = std::move(callback)] {
+      callback(tl::make_unexpected(UnknownNode(node_id)));
+    });
+    return;
+  }
+  network_->ExecuteLeaf(
+      address, request, [this, callback = std::move(callback)](auto result) {
+        if (!result)
+          LogFailure("execute_leaf", result.error().error);
+        Post([callback, result = std::move(result)]() mutable {
+          if (result)
+            callback(*std::move(result));
+          else
+            callback(tl::make_unexpected(std::move(result).error().error));
+        });
+      });
+}
+
+void NodeLinks::Run(const std::string& node_id,
+                    const query::BookingRun& run,
+                    query::BookingCallback callback) {
+  if (node_id == local_.node_id) {
+    Post([this, run, callback = std::move(callback)] {
+      local_.run_booking(run, callback);
+    });
+    return;
+  }
+  const std::string address = AddressOf(node_id);
+  if (address.empty()) {
+    callback(BookingOutcome::NotRun(UnknownNode(node_id)));
+    return;
+  }
+  network_->RunBooking(
+      address, run, [this, callback = std::move(callback)](auto result) {
+        BookingOutcome outcome;
+        if (result)
+          outcome = *std::move(result);
+        else if (result.error().delivery == peer::Delivery::kNotSent)
+          outcome = BookingOutcome::NotRun(result.error().error);
+        else
+          outcome = BookingOutcome::Unknown(result.error().error);
+        Post([callback, outcome = std::move(outcome)] { callback(outcome); });
+      });
+}
+
+void NodeLinks::Forward(const std::string& node_id,
+                        const std::string& ticket,
+                        const query::Booking& booking,
+                        base::Duration time_left,
+                        query::BookingCallback callback) {
+  const std::string address = AddressOf(node_id);
+  // NOTE: Never kNotRun: the issuer may have run the booking before.
+  if (address.empty()) {
+    callback(BookingOutcome::Unknown(UnknownNode(node_id)));
+    return;
+  }
+  network_->ForwardBooking(
+      address, ticket, booking, time_left,
+      [this, callback = std::move(callback)](auto result) {
+        BookingOutcome outcome =
+            result ? *std::move(result)
+                   : BookingOutcome::Unknown(result.error().error);
+        Post([callback, outcome = std::move(outcome)] { callback(outcome); });
+      });
+}
+
+void NodeLinks::Ask(const limits::GrantRequest& request,
+                    base::Duration timeout,
+                    limits::LimitLink::Callback callback) {
+  const auto view = views_.Current();
+  const membership::Member* owner = view->OwnerOf(request.account);
+  if (!owner || owner->node_id == local_.node_id) {
+    Post([this, request, callback = std::move(callback)] {
+      callback(local_.grant_credit(request));
+    });
+    return;
+  }
+  network_->GrantCredit(
+      owner->peer_address, request, timeout,
+      [this, callback = std::move(callback)](auto result) {
+        Post([callback, result = std::move(result)]() mutable {
+          if (result)
+            callback(*std::move(result));
+          else
+            callback(tl::make_unexpected(std::move(result).error().error));
+        });
+      });
+}
+
+PeerContentSource::PeerContentSource(routing::ClusterViewController& views,
+                                     std::string self,
+                                     base::Random& random)
+    : views_(views), self_(std::move(self)), random_(random) {}
+
+void PeerContentSource::Fetch(const std::string& digest, Callback callback) {
+  std::vector<std::string> addresses;
+  const auto view = views_.Current();
+  for (const membership::Member& member : view->members()) {
+    if (member.node_id != self_ && member.is_usable())
+      addresses.push_back(member.peer_address);
+  }
+  while (addresses.size() > kContentPeers) {
+    std::swap(addresses[random_.Below(addresses.size())], addresses.back());
+    addresses.pop_back();
+  }
+  FetchFrom(std::move(addresses), digest, std::move(callback));
+}
+
+void PeerContentSource::FetchFrom(std::vector<std::string> addresses,
+                                  const std::string& digest,
+                                  Callback callback) {
+  if (addresses.empty() || !network_) {
+    callback(base::Fail(ErrorKind::kNotFound, "no peer has the content",
+                        "read it from the key-value service"));
+    return;
+  }
+  const std::string address = addresses.back();
+  addresses.pop_back();
+  network_->FetchContent(address, digest, kContentTimeout,
+                         [this, addresses = std::move(addresses), digest,
+                          callback = std::move(callback)](auto result) mutable {
+                           if (result && result->text)
+                             callback(*std::move(result->text));
+                           else
+                             FetchFrom(std::move(addresses), digest,
+                                       std::move(callback));
+                         });
+}
+
+void StoreContentSource::Fetch(const std::string& digest, Callback callback) {
+  store_.Get(std::string(platform::kContentPrefix) + digest,
+             [callback = std::move(callback)](auto read) {
+               if (!read)
+                 callback(tl::make_unexpected(std::move(read).error()));
+               else if (!*read)
+                 callback(base::Fail(ErrorKind::kNotFound,
+                                     "the service holds no such content",
+                                     "publish the configuration again"));
+               else
+                 callback((*read)->value);
+             });
+}
+
+}  // namespace celerycroft
--- /dev/null
+++ b/Tests/StandIns/upstream_server.h
@@ -0,0 +1,105 @@
+// A stand-in for one server of an upstream: slots, a queue, index versions,
+// bookings, and faults that a test turns on. It records every run.
+
+#ifndef STANDINS_UPSTREAM_SERVER_H_
+#define STANDINS_UPSTREAM_SERVER_H_
+
+#include <boost/asio/io_context.hpp>
+#include <deque>
+#include <map>
+#include <memory>
+#include <mutex>
+#include <nlohmann/json_fwd.hpp>
+#include <string>
+#include <vector>
+
+#include "LibBase/asio_scheduler.h"
+#include "LibConfig/upstream.h"
+#include "LibHttp/server.h"
+#include "LibUpstream/report.h"
+
+namespace standins {
+
+struct ServerFaults {
+  bool leaving = false;
+  bool lies_about_leaving = false;  // The report keeps saying that it serves.
+  double straggle = 1;              // Factor on the service time.
+  int silent_requests = 0;          // The next ones are never answered.
+  int truncated_answers = 0;        // The next answers belong to nobody.
+  base::Duration booking_delay{};   // After a booking has been recorded.
+};
+
+struct Records {
+  uint64_t shard_calls = 0;
+  uint64_t calls_after_leaving = 0;  // Accepted work while leaving: a defect.
+  uint64_t refused_while_leaving = 0;
+  uint64_t shed = 0;
+  uint64_t most_connections = 0;
+  std::map<std::string, int> booking_runs;  // By run id.
+};
+
+class UpstreamServer {
+ public:
+  static base::Result<std::unique_ptr<UpstreamServer>> Create(
+      boost::asio::io_context& io,
+      const config::Upstream& upstream,
+      const config::Server& server,
+      std::vector<upstream::HeldIndex> held);
+
+  const std::string& address() const { return address_; }
+  const std::string& upstream() const { return upstream_; }
+  const std::string& availability_zone() const { return zone_; }
+
+  void SetFaults(const ServerFaults& faults);
+  ServerFaults faults();
+  void SetServiceTime(base::Duration time);
+  void SetHeld(std::vector<upstream::HeldIndex> held);
+  Records records();
+
+ private:
+  struct Waiting {
+    http::Request request;
+    http::Responder respond;
+    base::Instant deadline;
+  };
+
+  UpstreamServer(boost::asio::io_context& io,
+                 const config::Upstream& upstream,
+                 const config::Server& server,
+                 std::vector<upstream::HeldIndex> held);
+  void Handle(http::Request request, const http::Responder& respond);
+  http::Response ReportAnswer();
+  void StartWaiting();
+  void Finish(const Waiting& work);
+  http::Response ShardAnswer(const http::Request& request);
+  http::Response BookingAnswer(const http::Request& request);
+
+  const std::string address_;
+  const std::string upstream_;
+  const std::string zone_;
+  const int slots_;
+  base::AsioScheduler scheduler_;
+  const uint64_t incarnation_;
+
+  std::mutex mutex_;
+  // All guarded by `mutex_`.
+  uint64_t sequence_ = 1;
+  base::Duration service_time_;
+  std::vector<upstream::HeldIndex> held_;
+  ServerFaults faults_;
+  Records records_;
+  std::deque<Waiting> queue_;
+  int running_ = 0;  // At most `slots_`.
+
+  std::unique_ptr<http::Server> server_;
+};
+
+// What a server holds for a shard of an index version, as JSON text.
+std::string ItemsOf(const std::string& upstream,
+                    uint64_t version,
+                    uint32_t shard,
+                    const std::string& query);
+
+}  // namespace standins
+
+#endif  // STANDINS_UPSTREAM_SERVER_H_
