LibNode: Wire the node over interfaces

Cause: the wiring of controllers and filters lived in the service, on sockets, so tests could not run it in virtual time without writing it again. Change: NodeCore holds the wiring over interfaces (scheduler, transport, store, peers); the service adds sockets only.

--- a/Libraries/LibBase/asio_scheduler.cc
+++ b/Libraries/LibBase/asio_scheduler.cc
@@ -4,6 +4,7 @@
 
 #include <atomic>
 #include <boost/asio/io_context.hpp>
+#include <boost/asio/post.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <unordered_map>
 
@@ -45,6 +46,10 @@
   return TimerId{id};
 }
 
+void AsioScheduler::Post(std::function<void()> task) {
+  boost::asio::post(state_->io, std::move(task));
+}
+
 void AsioScheduler::Cancel(TimerId timer) {
   const auto id = static_cast<uint64_t>(timer);
   state_->timers.With(id, [id](TimerMap& timers) { timers.erase(id); });
--- a/Libraries/LibBase/asio_scheduler.h
+++ b/Libraries/LibBase/asio_scheduler.h
@@ -20,6 +20,7 @@
 
   Instant Now() const override { return MonotonicClock::now(); }
   TimerId After(Duration delay, std::function<void()> task) override;
+  void Post(std::function<void()> task) override;
   void Cancel(TimerId timer) override;
 
  private:
--- a/Libraries/LibBase/scheduler.h
+++ b/Libraries/LibBase/scheduler.h
@@ -22,6 +22,9 @@
   // Runs `task` once after `delay`, on any thread of the scheduler.
   virtual TimerId After(Duration delay, std::function<void()> task) = 0;
 
+  // Runs `task` soon, never from within Post.
+  virtual void Post(std::function<void()> task) = 0;
+
   // A cancelled task may still run if it had already started.
   virtual void Cancel(TimerId timer) = 0;
 };
--- a/Libraries/LibBase/time.h
+++ b/Libraries/LibBase/time.h
@@ -16,7 +16,6 @@
   using rep = duration::rep;
   using period = duration::period;
   using time_point = std::chrono::time_point<MonotonicClock>;
-  static constexpr bool is_steady = true;
   static time_point now();
 };
 
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -28,8 +28,8 @@
   base::Duration suspicion = std::chrono::milliseconds(1200);
   // How long a dead member is remembered, against rumours that lag.
   base::Duration tombstone = std::chrono::minutes(10);
-  size_t max_rumour_bytes = 8 * 1024;
-  size_t max_sync_bytes = 64 * 1024;
+  size_t max_rumour_bytes = size_t{8} * 1024;
+  size_t max_sync_bytes = size_t{64} * 1024;
   // A full comparison of facts every so many periods.
   uint64_t sync_rounds = 25;
   // Peers asked to probe a silent one.
--- /dev/null
+++ b/Libraries/LibNode/node_core.cc
@@ -0,0 +1,536 @@
+// Wiring of one node over interfaces.
+
+#include "LibNode/node_core.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibBase/log.h"
+#include "LibPlatform/host_list.h"
+#include "LibQuery/admission_filters.h"
+#include "LibQuery/caller_codec.h"
+#include "LibQuery/execution_filters.h"
+
+namespace node {
+
+using base::Event;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kServerPrefix = "server/";
+constexpr std::string_view kLeavingPrefix = "leaving/";
+constexpr std::string_view kManifestFact = "manifest";
+constexpr std::string_view kWatchTask = "watch";
+constexpr std::string_view kUsageTask = "usage";
+constexpr size_t kWatchersPerZone = 2;
+constexpr size_t kAddressesPerAnswer = 3;
+constexpr double kHedgeQuantile = 0.95;
+constexpr double kExtraLoadBurst = 10;  // Sub-requests.
+constexpr base::Duration kHostListPeriod = std::chrono::seconds(5);
+constexpr base::Duration kUsagePushTimeout = std::chrono::milliseconds(500);
+constexpr base::Duration kPauseCheckPeriod = std::chrono::milliseconds(200);
+constexpr base::Duration kLongestPause = std::chrono::seconds(1);
+// How long a node whose key-value service is down listens to peers before it
+// answers under what they told it.
+constexpr base::Duration kPeerListening = std::chrono::milliseconds(1500);
+constexpr double kUsageHeadroomSeconds = 3;
+
+membership::Member MakeSelf(const config::Settings& settings,
+                            const Identity& identity) {
+  membership::Member self;
+  self.node_id = settings.node_id;
+  self.availability_zone = settings.availability_zone;
+  self.caller_address = settings.caller_address;
+  self.peer_address = settings.peer_address;
+  self.operator_address = settings.operator_address;
+  self.incarnation = identity.incarnation;
+  return self;
+}
+
+query::LeafRules MakeLeafRules(const config::Settings& settings,
+                               const Policies& policies) {
+  query::LeafRules rules;
+  rules.holders = {settings.holders_per_service, settings.planned_nodes};
+  rules.replica_choice = policies.replica_choice;
+  return rules;
+}
+
+membership::MembershipRules MakeMembershipRules(
+    const config::Settings& settings) {
+  membership::MembershipRules rules;
+  rules.period = settings.gossip_period;
+  return rules;
+}
+
+membership::Fact ToFact(const config::Manifest& manifest) {
+  return {std::string(kManifestFact),
+          {manifest.revision, 0},
+          config::SerializeManifest(manifest)};
+}
+
+membership::Fact ToFact(const upstream::ServerReport& report) {
+  return {std::string(kServerPrefix) + report.address,
+          {report.incarnation, report.sequence},
+          upstream::SerializeReport(report)};
+}
+
+std::unique_ptr<upstream::HedgePolicy> MakeHedgePolicy(
+    const Policies& policies) {
+  if (policies.hedging)
+    return std::make_unique<upstream::QuantileHedgePolicy>(kHedgeQuantile);
+  return std::make_unique<upstream::NoHedgePolicy>();
+}
+
+}  // namespace
+
+NodeCore::NodeCore(config::Settings settings,
+                   Identity identity,
+                   Policies policies,
+                   Surroundings surroundings)
+    : settings_(std::move(settings)),
+      identity_(std::move(identity)),
+      leaf_rules_(MakeLeafRules(settings_, policies)),
+      world_(std::move(surroundings)),
+      started_at_(world_.scheduler.Now()),
+      views_(settings_.node_id, leaf_rules_.holders),
+      links_(world_.scheduler, views_, world_.network),
+      peer_contents_(views_, world_.network, settings_.node_id, world_.random),
+      store_contents_(world_.store),
+      configuration_(platform::ConfigurationController::Create(
+          {&peer_contents_, &store_contents_})),
+      watcher_(platform::ManifestWatcher::Create(
+          {},
+          world_.scheduler,
+          world_.store,
+          configuration_,
+          [this] {
+            return views_.Current()->IsZoneDelegate(std::string(kWatchTask),
+                                                    kWatchersPerZone);
+          })),
+      membership_(membership::MembershipController::Create(
+          MakeSelf(settings_, identity_),
+          settings_.peer_seeds,
+          MakeMembershipRules(settings_),
+          world_.scheduler,
+          world_.random,
+          facts_,
+          links_)),
+      snapshots_(world_.scheduler),
+      poller_(upstream::ReportPoller::Create(
+          world_.scheduler,
+          world_.reports,
+          servers_,
+          [this] { return HeldServers(); },
+          [this](const auto& report) { OnReport(report); })),
+      hedges_(MakeHedgePolicy(policies)),
+      budget_(kExtraLoadBurst),
+      grants_([this](const std::string& account) { return TermsOf(account); },
+              [this] { return views_.Current()->GrantableFraction(); }),
+      limits_(
+          {settings_.planned_nodes},
+          [this](const std::string& account) { return TermsOf(account); },
+          world_.scheduler,
+          links_),
+      admission_({}),
+      ledger_(
+          identity_.process_id,
+          [this](const std::string& party, const std::string& upstream) {
+            const auto terms = TermsOf(query::AccountName(party, upstream));
+            return static_cast<uint64_t>(
+                terms ? terms->rate * kUsageHeadroomSeconds + terms->burst : 0);
+          }),
+      usage_reporter_(platform::UsageReporter::Create(
+          {settings_.availability_zone},
+          world_.scheduler,
+          world_.store,
+          ledger_,
+          [this](const usage::UsageRecords& records) { PushUsage(records); },
+          [this] {
+            return views_.Current()->IsZoneDelegate(std::string(kUsageTask), 1);
+          })),
+      leaf_({world_.scheduler, world_.random, world_.transport, servers_,
+             *hedges_, budget_,
+             [this](const std::string& address) { OnLeaving(address); }},
+            leaf_rules_),
+      coordinator_({settings_.node_id, world_.scheduler, world_.random, links_,
+                    snapshots_, [this] { return Holders(); }},
+                   {}),
+      booking_runner_(
+          {world_.scheduler, world_.random, world_.booking_transport, servers_,
+           [this](const std::string& address) { OnLeaving(address); }}),
+      bookings_({settings_.node_id, identity_.process_id, identity_.secret,
+                 world_.scheduler, links_, links_, snapshots_,
+                 [this] { return Holders(); },
+                 [this](const query::Booking& booking) {
+                   ledger_.Add(usage::CurrentDay(), booking.party,
+                               booking.upstream, 1, 0);
+                 }},
+                {}),
+      filters_(MakeFilters()) {}
+
+NodeCore::~NodeCore() = default;
+
+std::shared_ptr<const routing::HolderMap> NodeCore::Holders() {
+  const auto view = views_.Current();
+  return {view, &view->holders()};
+}
+
+std::optional<limits::AccountTerms> NodeCore::TermsOf(
+    const std::string& account) {
+  return query::TermsOfAccount(*configuration_->Current(), account);
+}
+
+query::FilterChain NodeCore::MakeFilters() {
+  std::vector<std::unique_ptr<query::Filter>> filters;
+  filters.push_back(std::make_unique<query::ReadinessFilter>(
+      [this] { return AnsweringConfiguration(); }));
+  filters.push_back(std::make_unique<query::AuthenticationFilter>());
+  filters.push_back(std::make_unique<query::DeadlineFilter>());
+  filters.push_back(std::make_unique<query::AgreementFilter>());
+  filters.push_back(
+      std::make_unique<query::OverloadFilter>(world_.scheduler, admission_));
+  filters.push_back(std::make_unique<query::CreditFilter>(limits_, snapshots_));
+  filters.push_back(std::make_unique<query::UsageFilter>(ledger_, limits_));
+  filters.push_back(
+      std::make_unique<query::ExecutionFilter>(coordinator_, bookings_));
+  return query::FilterChain(std::move(filters));
+}
+
+void NodeCore::Start() {
+  links_.SetLocal(
+      {settings_.node_id,
+       [this](query::LeafRequest request, auto callback) {
+         ExecuteLeaf(std::move(request), std::move(callback));
+       },
+       [this](query::BookingRun run, query::BookingCallback callback) {
+         RunBooking(std::move(run), std::move(callback));
+       },
+       [this](const limits::GrantRequest& request) {
+         return GrantCredit(request);
+       }});
+  facts_.AddListener([this](const membership::Fact& fact) { OnFact(fact); });
+  configuration_->AddListener([this](const config::Manifest& manifest) {
+    snapshots_.SetConfiguration(configuration_->Current());
+    RefreshView();
+    facts_.Offer(ToFact(manifest));
+    for (const auto& fact : facts_.WithPrefix(kServerPrefix))
+      OnFact(fact);
+    poller_->PollAll();
+  });
+  membership_->SetChangeListener([this] { RefreshView(); });
+  RefreshView();
+  membership_->Start();
+  watcher_->Start();
+  poller_->Start();
+  usage_reporter_->Start();
+  ReadHostList();
+  WatchForPauses(world_.scheduler.Now() + kPauseCheckPeriod);
+}
+
+// The configuration to answer under, or null while a node that can't read the
+// key-value service may still learn of a higher revision from its peers.
+config::ConfigurationPtr NodeCore::AnsweringConfiguration() {
+  const auto current = configuration_->Current();
+  if (current->revision == 0)
+    return nullptr;
+  const auto stored = watcher_->stored_revision();
+  const bool read_enough = stored && current->revision >= *stored;
+  const bool listened =
+      world_.scheduler.Now() - started_at_ >= kPeerListening &&
+      watcher_->store_state() == platform::ManifestWatcher::StoreState::kSilent;
+  return read_enough || (!stored && listened) ? current : nullptr;
+}
+
+void NodeCore::RefreshView() {
+  views_.Update(membership_->Members(), configuration_->Current());
+  const auto view = views_.Current();
+  grants_.KeepOnly(
+      [&](const std::string& account) { return view->IsOwner(account); });
+  std::set<std::string> held;
+  for (const upstream::ServerTarget& target : HeldServers())
+    held.insert(target.address);
+  world_.on_held_changed(held);
+}
+
+void NodeCore::ReadHostList() {
+  world_.fetch_hosts([this](auto hosts) {
+    if (!hosts)
+      return;
+    std::vector<std::string> seeds;
+    std::ranges::transform(*hosts, std::back_inserter(seeds),
+                           &platform::Host::peer_address);
+    membership_->AddSeeds(seeds);
+  });
+  world_.scheduler.After(kHostListPeriod, [this] { ReadHostList(); });
+}
+
+void NodeCore::WatchForPauses(base::Instant expected) {
+  const base::Instant now = world_.scheduler.Now();
+  if (now - expected > kLongestPause)
+    base::Log(Event::kPauseDetected,
+              {{"ms", std::to_string(base::ToMilliseconds(now - expected))}});
+  world_.scheduler.After(
+      kPauseCheckPeriod,
+      [this, next = now + kPauseCheckPeriod] { WatchForPauses(next); });
+}
+
+int NodeCore::ConnectionsFor(const std::string& name) {
+  const auto configuration = configuration_->Current();
+  const config::Upstream* upstream = configuration->FindUpstream(name);
+  return upstream ? routing::ConnectionsPerNode(upstream->connections,
+                                                leaf_rules_.holders)
+                  : 0;
+}
+
+std::vector<upstream::ServerTarget> NodeCore::HeldServers() {
+  std::vector<upstream::ServerTarget> targets;
+  const auto view = views_.Current();
+  for (const config::Upstream& upstream : view->configuration()->upstreams) {
+    const int connections = ConnectionsFor(upstream.name);
+    for (size_t service = 0; service < upstream.services.size(); ++service) {
+      if (!view->holders().IsHolder(settings_.node_id, upstream.name, service))
+        continue;
+      for (const config::Server& server : upstream.services[service].servers)
+        targets.push_back({server.address, connections});
+    }
+  }
+  return targets;
+}
+
+void NodeCore::OnFact(const membership::Fact& fact) {
+  if (fact.key == kManifestFact) {
+    if (const auto manifest = config::ParseManifest(fact.value))
+      configuration_->OnManifest(*manifest);
+  } else if (fact.key.starts_with(kServerPrefix)) {
+    if (const auto report = upstream::ParseReport(fact.value)) {
+      snapshots_.OnReport(*report);
+      if (servers_.OnReport(*report))
+        StopTakingWork(report->address);
+    }
+  } else if (fact.key.starts_with(kLeavingPrefix)) {
+    const std::string address = fact.key.substr(kLeavingPrefix.size());
+    if (servers_.MarkLeaving(address, fact.version.epoch))
+      StopTakingWork(address);
+  }
+}
+
+void NodeCore::OnReport(const upstream::ServerReport& report) {
+  facts_.Offer(ToFact(report));
+}
+
+// A server refused work because it leaves: tells all nodes.
+void NodeCore::OnLeaving(const std::string& address) {
+  uint64_t incarnation = 0;
+  for (const upstream::ServerReport& report : snapshots_.Reports()) {
+    if (report.address == address)
+      incarnation = report.incarnation;
+  }
+  facts_.Offer({std::string(kLeavingPrefix) + address, {incarnation, 0}, ""});
+}
+
+void NodeCore::StopTakingWork(const std::string& address) {
+  base::Log(Event::kServerLeaving, {{"server", address}});
+  world_.transport.DropWaiting(address);
+}
+
+void NodeCore::PushUsage(const usage::UsageRecords& records) {
+  const auto view = views_.Current();
+  const std::string text = usage::SerializeRecords(records);
+  for (const membership::Member* keeper :
+       {view->ZoneDelegate(std::string(kUsageTask)),
+        view->RemoteKeeper(identity_.process_id)}) {
+    if (keeper && keeper->node_id != settings_.node_id)
+      world_.network.HoldUsage(keeper->peer_address, text, kUsagePushTimeout,
+                               [](const auto&) {});
+  }
+}
+
+void NodeCore::ExecuteLeaf(query::LeafRequest request,
+                           std::function<void(query::LeafAnswer)> callback) {
+  ++running_;
+  leaf_.Execute(configuration_->Current(), std::move(request),
+                [this, callback = std::move(callback)](auto answer) {
+                  callback(std::move(answer));
+                  --running_;
+                });
+}
+
+membership::GossipMessage NodeCore::Gossip(
+    const membership::GossipMessage& message) {
+  return membership_->OnGossip(message);
+}
+
+void NodeCore::Probe(const std::string& address,
+                     base::Duration timeout,
+                     membership::PeerLink::ProbeCallback callback) {
+  using Reachability = membership::PeerLink::Reachability;
+  world_.network.Ping(address, timeout, [callback](auto result) {
+    callback(result ? Reachability::kReachable : Reachability::kUnreachable);
+  });
+}
+
+std::optional<std::string> NodeCore::ContentOf(const std::string& digest) {
+  return configuration_->ContentOf(digest);
+}
+
+void NodeCore::RunBooking(query::BookingRun run,
+                          query::BookingCallback callback) {
+  ++running_;
+  booking_runner_.Run(configuration_->Current(), std::move(run),
+                      [this, callback = std::move(callback)](auto outcome) {
+                        callback(std::move(outcome));
+                        --running_;
+                      });
+}
+
+void NodeCore::ForwardBooking(const std::string& ticket,
+                              query::Booking booking,
+                              base::Duration time_left,
+                              query::BookingCallback callback) {
+  // NOTE: A replaced host may have taken the issuer's address; passing the
+  // booking on from here could send it in a circle.
+  const auto read = query::ReadTicket(ticket);
+  if (!read || read->node_id != settings_.node_id) {
+    callback(query::BookingOutcome::Unknown(base::Error(
+        base::ErrorKind::kUnavailable, "the ticket's issuer is gone",
+        "look the booking up at the service before you book again")));
+    return;
+  }
+  ++running_;
+  bookings_.Book(ticket, std::move(booking), world_.scheduler.Now() + time_left,
+                 [this, callback = std::move(callback)](auto outcome) {
+                   callback(std::move(outcome));
+                   --running_;
+                 });
+}
+
+limits::Grant NodeCore::GrantCredit(const limits::GrantRequest& request) {
+  return grants_.Give(request, world_.scheduler.Now());
+}
+
+void NodeCore::HoldUsage(const std::string& records) {
+  if (const auto parsed = usage::ParseRecords(records))
+    ledger_.Hold(*parsed);
+}
+
+http::Response NodeCore::AddressAnswer() {
+  const auto view = views_.Current();
+  json addresses = json::array();
+  for (const std::string& address :
+       view->SampleCallerAddresses(kAddressesPerAnswer, world_.random))
+    addresses.push_back(address);
+  http::Response response;
+  response.body = json{
+      {"addresses", addresses},
+      {"holdMs",
+       std::chrono::duration_cast<std::chrono::milliseconds>(
+           settings_.address_hold)
+           .count()}}.dump();
+  return response;
+}
+
+void NodeCore::HandleCaller(http::Request request,
+                            const http::Responder& respond) {
+  if (request.method == "GET" &&
+      http::Path(request.target) == "/v1/addresses") {
+    respond(AddressAnswer());
+    return;
+  }
+  auto parsed = query::ParseCallerRequest(request);
+  if (!parsed) {
+    respond(query::ToErrorResponse(parsed.error()));
+    return;
+  }
+  ++running_;
+  auto context = std::make_shared<query::RequestContext>();
+  context->request_id =
+      identity_.process_id + "-" + std::to_string(next_request_.fetch_add(1));
+  context->request = *std::move(parsed);
+  context->arrival = world_.scheduler.Now();
+  // NOTE: The context owns `respond`, so `respond` must not own the context.
+  context->respond = [this, respond,
+                      raw = context.get()](const query::CallerAnswer& answer) {
+    const base::Duration took = world_.scheduler.Now() - raw->arrival;
+    const std::string labels =
+        "outcome=\"" + std::string(query::OutcomeName(answer.outcome)) + "\"";
+    metrics_.Observe("celerycroft_request_seconds", labels, took);
+    respond(query::ToResponse(*raw, answer));
+    --running_;
+  };
+  filters_.Run(std::move(context));
+}
+
+uint64_t NodeCore::answering_revision() {
+  const auto configuration = AnsweringConfiguration();
+  return configuration ? configuration->revision : 0;
+}
+
+void NodeCore::AnnounceLeaving() {
+  if (leaving_.exchange(true))
+    return;
+  base::Log(Event::kNodeDraining);
+  membership_->AnnounceLeaving();
+  RefreshView();
+}
+
+void NodeCore::Finish(std::function<void()> done) {
+  usage_reporter_->Finish([done = std::move(done)] {
+    base::Log(Event::kNodeStopped);
+    done();
+  });
+}
+
+std::string NodeCore::StatusText() {
+  const auto manifest = configuration_->CurrentManifest();
+  const bool ready = AnsweringConfiguration() != nullptr;
+  return json{{"nodeId", settings_.node_id},
+              {"processId", identity_.process_id},
+              {"availabilityZone", settings_.availability_zone},
+              {"state", leaving_ ? "draining"
+                        : ready  ? "ready"
+                                 : "starting"},
+              {"revision", manifest ? manifest->revision : 0},
+              {"publicationId", manifest ? manifest->publication_id : ""}}
+      .dump();
+}
+
+std::string NodeCore::StateText() {
+  const auto view = views_.Current();
+  json members = json::array();
+  for (const membership::Member& member : view->members())
+    members.push_back({{"nodeId", member.node_id},
+                       {"availabilityZone", member.availability_zone},
+                       {"callerAddress", member.caller_address},
+                       {"operatorAddress", member.operator_address},
+                       {"incarnation", member.incarnation},
+                       {"state", static_cast<int>(member.state)}});
+  json servers = json::array();
+  for (const upstream::ServerView& server :
+       servers_.Dump(world_.scheduler.Now()))
+    servers.push_back({{"address", server.address},
+                       {"outstanding", server.outstanding},
+                       {"latencyMs", base::ToMilliseconds(server.latency)},
+                       {"leaving", server.is_leaving},
+                       {"unreachable", server.is_unreachable}});
+  json snapshots = json::object();
+  json concurrency = json::object();
+  for (const config::Upstream& upstream : view->configuration()->upstreams) {
+    if (const auto snapshot = snapshots_.Newest(upstream.name))
+      snapshots[upstream.name] = {{"version", snapshot->version},
+                                  {"shardCount", snapshot->shard_count()}};
+    concurrency[upstream.name] = admission_.LimitOf(upstream.name);
+  }
+  return json{{"status", json::parse(StatusText())},
+              {"members", members},
+              {"servers", servers},
+              {"snapshots", snapshots},
+              {"concurrencyLimits", concurrency},
+              {"facts", facts_.size()},
+              {"running", running_.load()},
+              {"rememberedBookings", bookings_.remembered()}}
+      .dump();
+}
+
+}  // namespace node
--- a/Services/celerycroft/node_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -1,14 +1,13 @@
 // Ties the interfaces of the controllers to the peer network.
 
-#include "node_links.h"
+#include "LibNode/peer_links.h"
 
-#include <boost/asio/post.hpp>
 #include <utility>
 
 #include "LibBase/log.h"
 #include "LibPlatform/manifest_watcher.h"
 
-namespace celerycroft {
+namespace node {
 
 using base::Error;
 using base::ErrorKind;
@@ -31,11 +30,12 @@
 
 }  // namespace
 
-NodeLinks::NodeLinks(boost::asio::io_context& io,
-                     routing::ClusterViewController& views)
-    : io_(io), views_(views) {}
+PeerLinks::PeerLinks(base::Scheduler& scheduler,
+                     routing::ClusterViewController& views,
+                     peer::Caller& network)
+    : scheduler_(scheduler), views_(views), network_(network) {}
 
-std::string NodeLinks::AddressOf(const std::string& node_id) {
+std::string PeerLinks::AddressOf(const std::string& node_id) {
   const auto view = views_.Current();
   const membership::Member* member = view->FindMember(node_id);
   const bool reachable =
@@ -43,40 +43,36 @@
   return reachable ? member->peer_address : "";
 }
 
-void NodeLinks::Post(std::function<void()> task) {
-  boost::asio::post(io_, std::move(task));
-}
-
-void NodeLinks::Gossip(const std::string& peer_address,
+void PeerLinks::Gossip(const std::string& peer_address,
                        membership::GossipMessage message,
                        base::Duration timeout,
                        GossipCallback callback) {
-  network_->Gossip(peer_address, std::move(message), timeout,
-                   [callback = std::move(callback)](auto result) {
-                     if (result)
-                       callback(*std::move(result));
-                     else
-                       callback(tl::make_unexpected(result.error().error));
-                   });
+  network_.Gossip(peer_address, std::move(message), timeout,
+                  [callback = std::move(callback)](auto result) {
+                    if (result)
+                      callback(*std::move(result));
+                    else
+                      callback(tl::make_unexpected(result.error().error));
+                  });
 }
 
-void NodeLinks::ProbeVia(const std::string& via_address,
+void PeerLinks::ProbeVia(const std::string& via_address,
                          const std::string& target_address,
                          base::Duration timeout,
                          ProbeCallback callback) {
-  network_->Probe(via_address, target_address, timeout,
-                  [callback = std::move(callback)](auto result) {
-                    callback(result && *result ? Reachability::kReachable
-                                               : Reachability::kUnreachable);
-                  });
+  network_.Probe(via_address, target_address, timeout,
+                 [callback = std::move(callback)](auto result) {
+                   callback(result && *result ? Reachability::kReachable
+                                              : Reachability::kUnreachable);
+                 });
 }
 
-void NodeLinks::Execute(const std::string& node_id,
+void PeerLinks::Execute(const std::string& node_id,
                         const query::LeafRequest& request,
                         query::LeafClient::Callback callback) {
   // NOTE: Posted, since the caller holds its lock.
   if (node_id == local_.node_id) {
-    Post([this, request, callback = std::move(callback)]() mutable {
+    scheduler_.Post([this, request, callback = std::move(callback)]() mutable {
       local_.execute_leaf(std::move(request), [callback](auto answer) {
         callback(std::move(answer));
       });
@@ -85,16 +81,16 @@
   }
   const std::string address = AddressOf(node_id);
   if (address.empty()) {
-    Post([node_id, callback = std::move(callback)] {
+    scheduler_.Post([node_id, callback = std::move(callback)] {
       callback(tl::make_unexpected(UnknownNode(node_id)));
     });
     return;
   }
-  network_->ExecuteLeaf(
+  network_.ExecuteLeaf(
       address, request, [this, callback = std::move(callback)](auto result) {
         if (!result)
           LogFailure("execute_leaf", result.error().error);
-        Post([callback, result = std::move(result)]() mutable {
+        scheduler_.Post([callback, result = std::move(result)]() mutable {
           if (result)
             callback(*std::move(result));
           else
@@ -103,11 +99,11 @@
       });
 }
 
-void NodeLinks::Run(const std::string& node_id,
+void PeerLinks::Run(const std::string& node_id,
                     const query::BookingRun& run,
                     query::BookingCallback callback) {
   if (node_id == local_.node_id) {
-    Post([this, run, callback = std::move(callback)] {
+    scheduler_.Post([this, run, callback = std::move(callback)] {
       local_.run_booking(run, callback);
     });
     return;
@@ -117,7 +113,7 @@
     callback(BookingOutcome::NotRun(UnknownNode(node_id)));
     return;
   }
-  network_->RunBooking(
+  network_.RunBooking(
       address, run, [this, callback = std::move(callback)](auto result) {
         BookingOutcome outcome;
         if (result)
@@ -126,11 +122,12 @@
           outcome = BookingOutcome::NotRun(result.error().error);
         else
           outcome = BookingOutcome::Unknown(result.error().error);
-        Post([callback, outcome = std::move(outcome)] { callback(outcome); });
+        scheduler_.Post(
+            [callback, outcome = std::move(outcome)] { callback(outcome); });
       });
 }
 
-void NodeLinks::Forward(const std::string& node_id,
+void PeerLinks::Forward(const std::string& node_id,
                         const std::string& ticket,
                         const query::Booking& booking,
                         base::Duration time_left,
@@ -141,31 +138,32 @@
     callback(BookingOutcome::Unknown(UnknownNode(node_id)));
     return;
   }
-  network_->ForwardBooking(
+  network_.ForwardBooking(
       address, ticket, booking, time_left,
       [this, callback = std::move(callback)](auto result) {
         BookingOutcome outcome =
             result ? *std::move(result)
                    : BookingOutcome::Unknown(result.error().error);
-        Post([callback, outcome = std::move(outcome)] { callback(outcome); });
+        scheduler_.Post(
+            [callback, outcome = std::move(outcome)] { callback(outcome); });
       });
 }
 
-void NodeLinks::Ask(const limits::GrantRequest& request,
+void PeerLinks::Ask(const limits::GrantRequest& request,
                     base::Duration timeout,
                     limits::LimitLink::Callback callback) {
   const auto view = views_.Current();
   const membership::Member* owner = view->OwnerOf(request.account);
   if (!owner || owner->node_id == local_.node_id) {
-    Post([this, request, callback = std::move(callback)] {
+    scheduler_.Post([this, request, callback = std::move(callback)] {
       callback(local_.grant_credit(request));
     });
     return;
   }
-  network_->GrantCredit(
+  network_.GrantCredit(
       owner->peer_address, request, timeout,
       [this, callback = std::move(callback)](auto result) {
-        Post([callback, result = std::move(result)]() mutable {
+        scheduler_.Post([callback, result = std::move(result)]() mutable {
           if (result)
             callback(*std::move(result));
           else
@@ -175,9 +173,13 @@
 }
 
 PeerContentSource::PeerContentSource(routing::ClusterViewController& views,
+                                     peer::Caller& network,
                                      std::string self,
                                      base::Random& random)
-    : views_(views), self_(std::move(self)), random_(random) {}
+    : views_(views),
+      network_(network),
+      self_(std::move(self)),
+      random_(random) {}
 
 void PeerContentSource::Fetch(const std::string& digest, Callback callback) {
   std::vector<std::string> addresses;
@@ -196,22 +198,22 @@
 void PeerContentSource::FetchFrom(std::vector<std::string> addresses,
                                   const std::string& digest,
                                   Callback callback) {
-  if (addresses.empty() || !network_) {
+  if (addresses.empty()) {
     callback(base::Fail(ErrorKind::kNotFound, "no peer has the content",
                         "read it from the key-value service"));
     return;
   }
   const std::string address = addresses.back();
   addresses.pop_back();
-  network_->FetchContent(address, digest, kContentTimeout,
-                         [this, addresses = std::move(addresses), digest,
-                          callback = std::move(callback)](auto result) mutable {
-                           if (result && result->text)
-                             callback(*std::move(result->text));
-                           else
-                             FetchFrom(std::move(addresses), digest,
-                                       std::move(callback));
-                         });
+  network_.FetchContent(address, digest, kContentTimeout,
+                        [this, addresses = std::move(addresses), digest,
+                         callback = std::move(callback)](auto result) mutable {
+                          if (result && result->text)
+                            callback(*std::move(result->text));
+                          else
+                            FetchFrom(std::move(addresses), digest,
+                                      std::move(callback));
+                        });
 }
 
 void StoreContentSource::Fetch(const std::string& digest, Callback callback) {
@@ -228,4 +230,4 @@
              });
 }
 
-}  // namespace celerycroft
+}  // namespace node
--- a/Services/celerycroft/node_links.h
+++ b/Libraries/LibNode/peer_links.h
@@ -1,25 +1,25 @@
 // Ties the interfaces of the controllers to the peer network.
 
-#ifndef CELERYCROFT_NODE_LINKS_H_
-#define CELERYCROFT_NODE_LINKS_H_
+#ifndef LIBNODE_PEER_LINKS_H_
+#define LIBNODE_PEER_LINKS_H_
 
-#include <boost/asio/io_context.hpp>
 #include <functional>
 #include <string>
 
+#include "LibBase/scheduler.h"
 #include "LibLimits/limit_link.h"
 #include "LibMembership/peer_link.h"
-#include "LibPeer/network.h"
+#include "LibPeer/caller.h"
 #include "LibPlatform/configuration_controller.h"
 #include "LibPlatform/key_value_store.h"
 #include "LibQuery/booking_link.h"
 #include "LibQuery/leaf_client.h"
 #include "LibRouting/cluster_view.h"
 
-namespace celerycroft {
+namespace node {
 
 // Runs work on this node, or sends it to the node that is named.
-class NodeLinks final : public membership::PeerLink,
+class PeerLinks final : public membership::PeerLink,
                         public query::LeafClient,
                         public query::BookingExecutor,
                         public query::BookingForwarder,
@@ -35,9 +35,10 @@
     std::function<limits::Grant(const limits::GrantRequest&)> grant_credit;
   };
 
-  NodeLinks(boost::asio::io_context& io, routing::ClusterViewController& views);
+  PeerLinks(base::Scheduler& scheduler,
+            routing::ClusterViewController& views,
+            peer::Caller& network);
   void SetLocal(Local local) { local_ = std::move(local); }
-  void SetNetwork(peer::Network* network) { network_ = network; }
 
   void Gossip(const std::string& peer_address,
               membership::GossipMessage message,
@@ -65,21 +66,20 @@
  private:
   // The member's peer address, or empty.
   std::string AddressOf(const std::string& node_id);
-  void Post(std::function<void()> task);
 
-  boost::asio::io_context& io_;
+  base::Scheduler& scheduler_;
   routing::ClusterViewController& views_;
   Local local_;
-  peer::Network* network_ = nullptr;
+  peer::Caller& network_;
 };
 
 // Content from peers that may have it: a few in random order.
 class PeerContentSource final : public platform::ContentSource {
  public:
   PeerContentSource(routing::ClusterViewController& views,
+                    peer::Caller& network,
                     std::string self,
                     base::Random& random);
-  void SetNetwork(peer::Network* network) { network_ = network; }
   void Fetch(const std::string& digest, Callback callback) override;
 
  private:
@@ -88,9 +88,9 @@
                  Callback callback);
 
   routing::ClusterViewController& views_;
+  peer::Caller& network_;
   const std::string self_;
   base::Random& random_;
-  peer::Network* network_ = nullptr;
 };
 
 class StoreContentSource final : public platform::ContentSource {
@@ -102,6 +102,6 @@
   platform::KeyValueStore& store_;
 };
 
-}  // namespace celerycroft
+}  // namespace node
 
-#endif  // CELERYCROFT_NODE_LINKS_H_
+#endif  // LIBNODE_PEER_LINKS_H_
--- a/Libraries/LibPeer/network.cc
+++ b/Libraries/LibPeer/network.cc
@@ -141,15 +141,18 @@
 
 class Network::Loop final : private kj::TaskSet::ErrorHandler {
  public:
-  explicit Loop(Handler& handler) : handler_(handler) {}
-  ~Loop() {
+  ~Loop() { Stop(); }
+
+  void Stop() {
+    if (!thread_.joinable())
+      return;
     Post([this] { stop_->fulfill(); });
-    if (thread_.joinable())
-      thread_.join();
+    thread_.join();
   }
 
   // Runs the thread and returns once it listens or has failed to.
-  base::Result<void> Start(const std::string& address) {
+  base::Result<void> Start(const std::string& address, Handler& handler) {
+    handler_ = &handler;
     thread_ = std::thread([this, address] { Run(address); });
     std::unique_lock lock(mutex_);
     started_.wait(lock, [this] { return state_ != State::kStarting; });
@@ -205,7 +208,7 @@
                         .parseAddress(kj::StringPtr(address.c_str()))
                         .wait(io.waitScope);
       auto listener = parsed->listen();
-      capnp::TwoPartyServer server(kj::heap<PeerServer>(handler_));
+      capnp::TwoPartyServer server(kj::heap<PeerServer>(*handler_));
       tasks.add(server.listen(*listener));
       tasks.add(DrainTasks());
       SetState(State::kListening, "");
@@ -330,7 +333,7 @@
 
   void taskFailed(kj::Exception&&) override {}
 
-  Handler& handler_;
+  Handler* handler_ = nullptr;  // Set before the thread starts.
   std::thread thread_;
 
   std::mutex mutex_;
@@ -354,12 +357,17 @@
 
 Network::~Network() = default;
 
-base::Result<std::unique_ptr<Network>> Network::Create(
-    const std::string& address,
-    Handler& handler) {
-  auto loop = std::make_unique<Loop>(handler);
-  TRY_VOID(loop->Start(address));
-  return std::unique_ptr<Network>(new Network(std::move(loop)));
+std::unique_ptr<Network> Network::Create() {
+  return std::unique_ptr<Network>(new Network(std::make_unique<Loop>()));
+}
+
+base::Result<void> Network::Listen(const std::string& address,
+                                   Handler& handler) {
+  return loop_->Start(address, handler);
+}
+
+void Network::Stop() {
+  loop_->Stop();
 }
 
 void Network::ExecuteLeaf(const std::string& address,
--- a/Libraries/LibPeer/network.h
+++ b/Libraries/LibPeer/network.h
@@ -9,71 +9,59 @@
 #include <string>
 
 #include "LibBase/error.h"
+#include "LibPeer/caller.h"
 #include "LibPeer/handler.h"
 
 namespace peer {
 
-// Whether a call that failed can have reached the peer.
-enum class Delivery { kNotSent, kMaybeSent };
-
-struct CallError {
-  base::Error error;
-  Delivery delivery;
-};
-
-template <typename T>
-using CallResult = tl::expected<T, CallError>;
-
-template <typename T>
-using CallCallback = std::function<void(CallResult<T>)>;
-
-struct Content {
-  std::optional<std::string> text;
-};
-
 // Callbacks run on the network's thread and must be short.
-class Network {
+class Network final : public Caller {
  public:
-  // Listens on `address`. `handler` outlives the network.
-  static base::Result<std::unique_ptr<Network>> Create(
-      const std::string& address,
-      Handler& handler);
-  ~Network();
+  static std::unique_ptr<Network> Create();
+  ~Network() override;
+
+  // Starts the thread, serves `handler` on `address`, and makes calls. Until
+  // then calls wait. `handler` outlives the network's running.
+  base::Result<void> Listen(const std::string& address, Handler& handler);
+
+  // Ends the thread. Calls still open get no answer.
+  void Stop();
 
+  // Caller:
   void ExecuteLeaf(const std::string& address,
                    query::LeafRequest request,
-                   CallCallback<query::LeafAnswer> callback);
+                   CallCallback<query::LeafAnswer> callback) override;
   void Gossip(const std::string& address,
               membership::GossipMessage message,
               base::Duration timeout,
-              CallCallback<membership::GossipMessage> callback);
+              CallCallback<membership::GossipMessage> callback) override;
   void Probe(const std::string& address,
              const std::string& target,
              base::Duration timeout,
-             CallCallback<bool> callback);
+             CallCallback<bool> callback) override;
   void FetchContent(const std::string& address,
                     const std::string& digest,
                     base::Duration timeout,
-                    CallCallback<Content> callback);
+                    CallCallback<Content> callback) override;
   void RunBooking(const std::string& address,
                   query::BookingRun run,
-                  CallCallback<query::BookingOutcome> callback);
+                  CallCallback<query::BookingOutcome> callback) override;
   void ForwardBooking(const std::string& address,
                       const std::string& ticket,
                       query::Booking booking,
                       base::Duration time_left,
-                      CallCallback<query::BookingOutcome> callback);
+                      CallCallback<query::BookingOutcome> callback) override;
   void GrantCredit(const std::string& address,
                    limits::GrantRequest request,
                    base::Duration timeout,
-                   CallCallback<limits::Grant> callback);
+                   CallCallback<limits::Grant> callback) override;
   void HoldUsage(const std::string& address,
                  std::string records,
                  base::Duration timeout,
-                 CallCallback<bool> callback);
+                 CallCallback<bool> callback) override;
   void Ping(const std::string& address,
             base::Duration timeout,
-            CallCallback<bool> callback);
+            CallCallback<bool> callback) override;
 
  private:
   class Loop;
--- a/Libraries/LibQuery/caller_codec.cc
+++ b/Libraries/LibQuery/caller_codec.cc
@@ -104,18 +104,6 @@
   }
 }
 
-std::string_view OutcomeName(Outcome outcome) {
-  switch (outcome) {
-    case Outcome::kAnswered:
-      return "answered";
-    case Outcome::kNotRun:
-      return "not_run";
-    case Outcome::kUnknown:
-      return "unknown";
-  }
-  return "unknown";
-}
-
 json ToJson(const base::Error& error) {
   return {{"kind", base::ErrorKindName(error.kind())},
           {"message", error.message()},
@@ -155,6 +143,18 @@
 
 }  // namespace
 
+std::string_view OutcomeName(Outcome outcome) {
+  switch (outcome) {
+    case Outcome::kAnswered:
+      return "answered";
+    case Outcome::kNotRun:
+      return "not_run";
+    case Outcome::kUnknown:
+      return "unknown";
+  }
+  return "unknown";
+}
+
 base::Result<CallerRequest> ParseCallerRequest(const http::Request& request) {
   CallerRequest parsed;
   parsed.operation = TRY(OperationOf(request));
--- a/Libraries/LibQuery/caller_codec.h
+++ b/Libraries/LibQuery/caller_codec.h
@@ -9,6 +9,8 @@
 
 namespace query {
 
+std::string_view OutcomeName(Outcome outcome);
+
 base::Result<CallerRequest> ParseCallerRequest(const http::Request& request);
 
 // `context` may lack what filters set if the request never reached them.
--- a/Libraries/LibUpstream/http_transport.h
+++ b/Libraries/LibUpstream/http_transport.h
@@ -16,7 +16,7 @@
 
 namespace upstream {
 
-class HttpTransport final : public Transport {
+class HttpTransport final : public Transport, public ReportSource {
  public:
   explicit HttpTransport(std::shared_ptr<ConnectionPool> pool);
   ~HttpTransport() override;
@@ -28,11 +28,9 @@
   void Cancel(CallId call) override;
   void DropWaiting(const std::string& address) override;
 
-  using ReportCallback = std::function<void(base::Result<ServerReport>)>;
-  // Reads the server's report.
   void FetchReport(const ServerTarget& target,
                    base::Duration timeout,
-                   ReportCallback callback);
+                   ReportCallback callback) override;
 
  private:
   struct Call;
--- a/Libraries/LibUpstream/report_poller.cc
+++ b/Libraries/LibUpstream/report_poller.cc
@@ -14,22 +14,21 @@
 }  // namespace
 
 std::shared_ptr<ReportPoller> ReportPoller::Create(base::Scheduler& scheduler,
-                                                   HttpTransport& transport,
+                                                   ReportSource& source,
                                                    ServerTable& servers,
                                                    TargetsOf targets_of,
                                                    Listener listener) {
-  return std::shared_ptr<ReportPoller>(
-      new ReportPoller(scheduler, transport, servers, std::move(targets_of),
-                       std::move(listener)));
+  return std::shared_ptr<ReportPoller>(new ReportPoller(
+      scheduler, source, servers, std::move(targets_of), std::move(listener)));
 }
 
 ReportPoller::ReportPoller(base::Scheduler& scheduler,
-                           HttpTransport& transport,
+                           ReportSource& source,
                            ServerTable& servers,
                            TargetsOf targets_of,
                            Listener listener)
     : scheduler_(scheduler),
-      transport_(transport),
+      source_(source),
       servers_(servers),
       targets_of_(std::move(targets_of)),
       listener_(std::move(listener)) {}
@@ -48,7 +47,7 @@
 }
 
 void ReportPoller::Poll(const ServerTarget& target) {
-  transport_.FetchReport(
+  source_.FetchReport(
       target, kTimeout,
       [self = shared_from_this(), address = target.address](auto report) {
         // NOTE: A report under another address would mislead others.
--- a/Libraries/LibUpstream/report_poller.h
+++ b/Libraries/LibUpstream/report_poller.h
@@ -8,8 +8,8 @@
 #include <vector>
 
 #include "LibBase/scheduler.h"
-#include "LibUpstream/http_transport.h"
 #include "LibUpstream/server_table.h"
+#include "LibUpstream/transport.h"
 
 namespace upstream {
 
@@ -19,7 +19,7 @@
   using Listener = std::function<void(const ServerReport&)>;
 
   static std::shared_ptr<ReportPoller> Create(base::Scheduler& scheduler,
-                                              HttpTransport& transport,
+                                              ReportSource& source,
                                               ServerTable& servers,
                                               TargetsOf targets_of,
                                               Listener listener);
@@ -31,7 +31,7 @@
 
  private:
   ReportPoller(base::Scheduler& scheduler,
-               HttpTransport& transport,
+               ReportSource& source,
                ServerTable& servers,
                TargetsOf targets_of,
                Listener listener);
@@ -39,7 +39,7 @@
   void Poll(const ServerTarget& target);
 
   base::Scheduler& scheduler_;
-  HttpTransport& transport_;
+  ReportSource& source_;
   ServerTable& servers_;
   const TargetsOf targets_of_;
   const Listener listener_;
--- a/Libraries/LibUpstream/transport.h
+++ b/Libraries/LibUpstream/transport.h
@@ -8,7 +8,9 @@
 #include <string>
 #include <tl/expected.hpp>
 
+#include "LibBase/error.h"
 #include "LibBase/time.h"
+#include "LibUpstream/report.h"
 #include "LibUpstream/shard_call.h"
 
 namespace upstream {
@@ -42,6 +44,18 @@
   virtual void DropWaiting(const std::string& address) = 0;
 };
 
+// Reads of servers' reports, as an interface.
+class ReportSource {
+ public:
+  virtual ~ReportSource() = default;
+
+  using ReportCallback = std::function<void(base::Result<ServerReport>)>;
+  // Calls `callback` once, never from within FetchReport.
+  virtual void FetchReport(const ServerTarget& target,
+                           base::Duration timeout,
+                           ReportCallback callback) = 0;
+};
+
 }  // namespace upstream
 
 #endif  // LIBUPSTREAM_TRANSPORT_H_
--- /dev/null
+++ b/Meta/format.sh
@@ -0,0 +1,6 @@
+#!/usr/bin/env bash
+# Formats our own files.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+git ls-files -co --exclude-standard '*.cc' '*.h' | grep -v '\.capnp\.' |
+  xargs clang-format -i
