LibQuery: Let the ticket's issuer speak for a booking

Two faults met: a waiter that came after the question for credit was refused with the answer to it, and refusals spoke for the attempt, not the ticket. Ruled out: a second run (the servers recorded one). Change: only waiters that a question covers are refused by it; bookings are admitted by the ticket's issuer; a refusal on the way voids the unused ticket there, else it is unknown.

--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -93,7 +93,13 @@
                               boost::log::keywords::auto_flush = true);
 }
 
+void DisableLog() {
+  boost::log::core::get()->set_logging_enabled(false);
+}
+
 void Log(Event event, std::initializer_list<LogField> fields) {
+  if (!boost::log::core::get()->get_logging_enabled())
+    return;
   const auto description =
       std::ranges::find(kCatalogue, event, &EventDescription::event);
   nlohmann::ordered_json line = {
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -57,6 +57,9 @@
 // Adds the process's name to each line. Call once, before other threads start.
 void InitializeLog(std::string process_name);
 
+// Drops all events; for tests and benchmarks.
+void DisableLog();
+
 }  // namespace base
 
 #endif  // LIBBASE_LOG_H_
--- a/Libraries/LibLimits/limit_controller.cc
+++ b/Libraries/LibLimits/limit_controller.cc
@@ -99,6 +99,7 @@
   if (account.asking || !is_low || missing <= 0)
     return;
   account.asking = true;
+  account.asked_for = account.waiters.size();
   link_.Ask({name, std::ceil(missing)}, rules_.ask_timeout,
             [this, name, now](base::Result<Grant> grant) {
               OnGrant(name, now, std::move(grant));
@@ -138,8 +139,7 @@
     // paused can't lengthen it.
     if (grant && grant->amount > 0 && asked_at + kGrantLife > now)
       account.credits.push_back({grant->amount, asked_at + kGrantLife});
-    const size_t waiting = account.waiters.size();
-    for (size_t i = 0; i < waiting; ++i) {
+    for (; account.asked_for > 0; --account.asked_for) {
       Waiter waiter = std::move(account.waiters.front());
       account.waiters.pop_front();
       const bool paid =
@@ -148,6 +148,7 @@
       (paid ? served.taken : served.refused)
           .push_back(std::move(waiter.callback));
     }
+    AskIfNeeded(name, account);
   });
   served.Run();
 }
--- a/Libraries/LibLimits/limit_controller.h
+++ b/Libraries/LibLimits/limit_controller.h
@@ -61,6 +61,8 @@
     double demand_rate = 0;      // Decayed, per second.
     base::Instant demand_at;
     bool asking = false;
+    // Of `waiters`, those that the present question covers.
+    size_t asked_for = 0;
     // The static part, used while the owner can't be reached.
     double static_tokens = 0;
     base::Instant static_at;
--- a/Libraries/LibNode/node_core.cc
+++ b/Libraries/LibNode/node_core.cc
@@ -32,9 +32,6 @@
 constexpr base::Duration kUsagePushTimeout = std::chrono::milliseconds(500);
 constexpr base::Duration kPauseCheckPeriod = std::chrono::milliseconds(200);
 constexpr base::Duration kLongestPause = std::chrono::seconds(1);
-// How long a node whose key-value service is down listens to peers before it
-// answers under what they told it.
-constexpr base::Duration kPeerListening = std::chrono::milliseconds(1500);
 constexpr double kUsageHeadroomSeconds = 3;
 
 membership::Member MakeSelf(const config::Settings& settings,
@@ -93,7 +90,6 @@
       identity_(std::move(identity)),
       leaf_rules_(MakeLeafRules(settings_, policies)),
       world_(std::move(surroundings)),
-      started_at_(world_.scheduler.Now()),
       views_(settings_.node_id, leaf_rules_.holders),
       links_(world_.scheduler, views_, world_.network),
       peer_contents_(views_, world_.network, settings_.node_id, world_.random),
@@ -163,6 +159,11 @@
       bookings_({settings_.node_id, identity_.process_id, identity_.secret,
                  world_.scheduler, links_, links_, snapshots_,
                  [this] { return Holders(); },
+                 [this](const query::Booking& booking,
+                        query::BookingDependencies::Verdict verdict) {
+                   query::AdmitBooking(*configuration_->Current(), limits_,
+                                       booking, std::move(verdict));
+                 },
                  [this](const query::Booking& booking) {
                    ledger_.Add(usage::CurrentDay(), booking.party,
                                booking.upstream, 1, 0);
@@ -184,6 +185,7 @@
 
 query::FilterChain NodeCore::MakeFilters() {
   std::vector<std::unique_ptr<query::Filter>> filters;
+  filters.push_back(std::make_unique<query::TicketFilter>(bookings_));
   filters.push_back(std::make_unique<query::ReadinessFilter>(
       [this] { return AnsweringConfiguration(); }));
   filters.push_back(std::make_unique<query::AuthenticationFilter>());
@@ -229,18 +231,15 @@
   WatchForPauses(world_.scheduler.Now() + kPauseCheckPeriod);
 }
 
-// The configuration to answer under, or null while a node that can't read the
-// key-value service may still learn of a higher revision from its peers.
+// The configuration to answer under, or null until this process has read the
+// key-value service once: only the service knows under which revision the
+// process before it has answered.
 config::ConfigurationPtr NodeCore::AnsweringConfiguration() {
   const auto current = configuration_->Current();
-  if (current->revision == 0)
-    return nullptr;
   const auto stored = watcher_->stored_revision();
-  const bool read_enough = stored && current->revision >= *stored;
-  const bool listened =
-      world_.scheduler.Now() - started_at_ >= kPeerListening &&
-      watcher_->store_state() == platform::ManifestWatcher::StoreState::kSilent;
-  return read_enough || (!stored && listened) ? current : nullptr;
+  const bool may_answer =
+      current->revision > 0 && stored && current->revision >= *stored;
+  return may_answer ? current : nullptr;
 }
 
 void NodeCore::RefreshView() {
--- a/Libraries/LibNode/node_core.h
+++ b/Libraries/LibNode/node_core.h
@@ -151,7 +151,6 @@
   const Identity identity_;
   const query::LeafRules leaf_rules_;
   const Surroundings world_;
-  const base::Instant started_at_;
   base::Metrics metrics_;
 
   routing::ClusterViewController views_;
--- a/Services/celerycroft/publisher.cc
+++ b/Libraries/LibPlatform/publisher.cc
@@ -1,13 +1,13 @@
 // The steps of a publication.
 
-#include "publisher.h"
+#include "LibPlatform/publisher.h"
 
 #include <nlohmann/json.hpp>
 
 #include "LibBase/digest.h"
 #include "LibPlatform/manifest_watcher.h"
 
-namespace celerycroft {
+namespace platform {
 
 using base::ErrorKind;
 using nlohmann::json;
@@ -18,11 +18,11 @@
 
 struct Present {
   config::Manifest manifest;  // Revision 0 if none is stored.
-  uint64_t version = platform::kAbsent;
+  uint64_t version = kAbsent;
 };
 
 base::Result<Present> ReadPresent(const StoreCalls& store) {
-  const auto read = TRY(store.get(std::string(platform::kManifestKey)));
+  const auto read = TRY(store.get(std::string(kManifestKey)));
   if (!read)
     return Present{};
   return Present{TRY(config::ParseManifest(read->value)), read->version};
@@ -32,8 +32,8 @@
 std::string Summarize(const config::CollectedConfiguration& collected,
                       const Present& present,
                       const StoreCalls& store) {
-  const auto read = store.get(std::string(platform::kContentPrefix) +
-                              present.manifest.content_digest);
+  const auto read =
+      store.get(std::string(kContentPrefix) + present.manifest.content_digest);
   json before = json::object();
   if (read && *read)
     before = json::parse((*read)->value, nullptr, false);
@@ -50,7 +50,7 @@
 base::Result<void> WriteContent(const std::string& key,
                                 const std::string& content,
                                 const StoreCalls& store) {
-  const auto written = store.compare_and_swap(key, platform::kAbsent, content);
+  const auto written = store.compare_and_swap(key, kAbsent, content);
   if (written || written.error().kind() == ErrorKind::kConflict)
     return {};
   // The answer may be lost; content under its digest is the same whoever
@@ -98,15 +98,14 @@
   manifest.publication_id = publication_id;
   manifest.content_digest = base::Sha256Hex(collected.content);
   manifest.summary = Summarize(collected, present, store);
-  TRY_VOID(WriteContent(
-      std::string(platform::kContentPrefix) + manifest.content_digest,
-      collected.content, store));
-  const auto written = store.compare_and_swap(
-      std::string(platform::kManifestKey), present.version,
-      config::SerializeManifest(manifest));
+  TRY_VOID(WriteContent(std::string(kContentPrefix) + manifest.content_digest,
+                        collected.content, store));
+  const auto written =
+      store.compare_and_swap(std::string(kManifestKey), present.version,
+                             config::SerializeManifest(manifest));
   if (written)
     return manifest;
   return ResolveWrite(manifest, written.error(), store);
 }
 
-}  // namespace celerycroft
+}  // namespace platform
--- a/Services/celerycroft/publisher.h
+++ b/Libraries/LibPlatform/publisher.h
@@ -1,8 +1,8 @@
 // Publishes a configuration by compare-and-swap and finds out where it is in
 // force.
 
-#ifndef CELERYCROFT_PUBLISHER_H_
-#define CELERYCROFT_PUBLISHER_H_
+#ifndef LIBPLATFORM_PUBLISHER_H_
+#define LIBPLATFORM_PUBLISHER_H_
 
 #include <functional>
 #include <string>
@@ -12,11 +12,11 @@
 #include "LibConfig/configuration.h"
 #include "LibPlatform/key_value_store.h"
 
-namespace celerycroft {
+namespace platform {
 
 // The store's calls as functions, so that tests can lose answers.
 struct StoreCalls {
-  std::function<base::Result<std::optional<platform::StoredValue>>(
+  std::function<base::Result<std::optional<StoredValue>>(
       const std::string& key)>
       get;
   std::function<base::Result<uint64_t>(const std::string& key,
@@ -33,6 +33,6 @@
     const std::string& publication_id,
     const StoreCalls& store);
 
-}  // namespace celerycroft
+}  // namespace platform
 
-#endif  // CELERYCROFT_PUBLISHER_H_
+#endif  // LIBPLATFORM_PUBLISHER_H_
--- a/Libraries/LibQuery/admission_filters.cc
+++ b/Libraries/LibQuery/admission_filters.cc
@@ -18,6 +18,12 @@
 constexpr base::Duration kShortestDeadline = std::chrono::milliseconds(1);
 constexpr char kAccountSeparator = '\n';  // Not possible in a header value.
 
+base::Error AgreementTaken() {
+  return base::Error(ErrorKind::kLimitExceeded,
+                     "the party has taken what it agreed to",
+                     "ask at the agreed rate, or publish a larger agreement");
+}
+
 }  // namespace
 
 std::string AccountName(const std::string& party, const std::string& upstream) {
@@ -38,6 +44,30 @@
   return limits::AccountTerms{ask->sub_requests_per_second, ask->burst};
 }
 
+void AdmitBooking(const config::Configuration& configuration,
+                  limits::LimitController& limits,
+                  const Booking& booking,
+                  BookingDependencies::Verdict verdict) {
+  const config::Agreement* agreement =
+      configuration.FindAgreement(booking.party);
+  const config::Ask* ask =
+      agreement ? agreement->FindAsk(booking.upstream) : nullptr;
+  if (!ask || ask->booking == config::BookingRight::kNone) {
+    verdict(base::Error(
+        ErrorKind::kNotFound,
+        "the agreement allows no bookings at '" + booking.upstream + "'",
+        "publish an agreement with mayBook"));
+    return;
+  }
+  limits.Take(AccountName(booking.party, booking.upstream), 1,
+              [verdict = std::move(verdict)](limits::TakeResult result) {
+                if (result == limits::TakeResult::kTaken)
+                  verdict(std::nullopt);
+                else
+                  verdict(AgreementTaken());
+              });
+}
+
 ReadinessFilter::ReadinessFilter(
     std::function<config::ConfigurationPtr()> current)
     : current_(std::move(current)) {}
@@ -95,7 +125,7 @@
 
 void AgreementFilter::Handle(ContextPtr context, Next next) {
   const CallerRequest& request = context->request;
-  if (request.operation == Operation::kTicket) {
+  if (request.operation != Operation::kQuery) {
     next(std::move(context));
     return;
   }
@@ -107,13 +137,6 @@
         "ask an upstream of the agreement, or publish a change");
     return;
   }
-  if (request.operation == Operation::kBooking &&
-      context->ask->booking == config::BookingRight::kNone) {
-    context->Refuse(ErrorKind::kUnauthorized,
-                    "the agreement does not allow bookings here",
-                    "publish an agreement with mayBook");
-    return;
-  }
   const std::string account = AccountName(request.party, request.upstream);
   {
     const std::lock_guard lock(mutex_);
@@ -177,8 +200,7 @@
 double CreditFilter::SubRequestsOf(const RequestContext& context) {
   const CallerRequest& request = context.request;
   const auto snapshot = snapshots_.Newest(request.upstream);
-  if (request.operation == Operation::kBooking || !request.key.empty() ||
-      !snapshot)
+  if (!request.key.empty() || !snapshot)
     return 1;
   std::set<uint32_t> services;
   if (request.shards.empty())
@@ -192,7 +214,7 @@
 }
 
 void CreditFilter::Handle(ContextPtr context, Next next) {
-  if (context->request.operation == Operation::kTicket) {
+  if (context->request.operation != Operation::kQuery) {
     next(std::move(context));
     return;
   }
@@ -204,10 +226,7 @@
                  if (result == limits::TakeResult::kTaken)
                    next(context);
                  else
-                   context->Refuse(ErrorKind::kLimitExceeded,
-                                   "the party has taken what it agreed to",
-                                   "ask at the agreed rate, or publish a "
-                                   "larger agreement");
+                   context->respond(CallerAnswer::NotRun(AgreementTaken()));
                });
 }
 
--- a/Libraries/LibQuery/admission_filters.h
+++ b/Libraries/LibQuery/admission_filters.h
@@ -12,6 +12,7 @@
 #include "LibBase/scheduler.h"
 #include "LibLimits/admission_controller.h"
 #include "LibLimits/limit_controller.h"
+#include "LibQuery/booking_controller.h"
 #include "LibQuery/filter.h"
 #include "LibUpstream/snapshot_catalogue.h"
 
@@ -41,7 +42,7 @@
   void Handle(ContextPtr context, Next next) override;
 };
 
-// Checks the right to the upstream and the party's concurrency.
+// Checks the right to query the upstream and the party's concurrency.
 class AgreementFilter final : public Filter {
  public:
   void Handle(ContextPtr context, Next next) override;
@@ -65,7 +66,7 @@
   limits::AdmissionController& admission_;
 };
 
-// Takes credit for the sub-requests the request will cause.
+// Takes credit for the sub-requests that a query will cause.
 class CreditFilter final : public Filter {
  public:
   CreditFilter(limits::LimitController& limits,
@@ -87,6 +88,13 @@
     const config::Configuration& configuration,
     const std::string& account);
 
+// Whether a booking may start: the right to it, and credit for it. Bookings
+// are admitted where they run, not where they arrive.
+void AdmitBooking(const config::Configuration& configuration,
+                  limits::LimitController& limits,
+                  const Booking& booking,
+                  BookingDependencies::Verdict verdict);
+
 }  // namespace query
 
 #endif  // LIBQUERY_ADMISSION_FILTERS_H_
--- a/Libraries/LibQuery/booking_controller.cc
+++ b/Libraries/LibQuery/booking_controller.cc
@@ -126,7 +126,8 @@
         record.waiters.push_back(std::move(callback));
         start = true;
       }
-    } else if (found->second.booking != booking) {
+    } else if (found->second.booking != booking &&
+               found->second.booking != Booking()) {
       known = BookingOutcome::NotRun(
           Error(ErrorKind::kConflict,
                 "the ticket belongs to another booking, which may have run",
@@ -140,7 +141,41 @@
   if (known)
     callback(*std::move(known));
   if (start)
-    StartRun(text, ticket, booking, deadline);
+    Admit(text, ticket, booking, deadline);
+}
+
+void BookingController::Admit(const std::string& text,
+                              const Ticket& ticket,
+                              const Booking& booking,
+                              base::Instant deadline) {
+  dependencies_.admit(booking, [this, text, ticket, booking,
+                                deadline](std::optional<base::Error> reason) {
+    if (reason)
+      Finish(ticket.sequence, BookingOutcome::NotRun(*std::move(reason)));
+    else
+      StartRun(text, ticket, booking, deadline);
+  });
+}
+
+BookingOutcome BookingController::Refuse(const std::string& text,
+                                         const std::string& party,
+                                         const base::Error& reason) {
+  const auto ticket = ReadTicket(text);
+  const bool ours = ticket && ticket->node_id == dependencies_.node_id &&
+                    ticket->incarnation == dependencies_.incarnation &&
+                    IsSealValid(text, party, dependencies_.secret);
+  if (!ours)
+    return BookingOutcome::Unknown(reason);
+  return records_.With(ticket->sequence, [&](Records& records) {
+    const auto [found, is_new] = records.try_emplace(ticket->sequence);
+    Record& record = found->second;
+    if (is_new) {
+      record.forget_at = ticket->expiry + rules_.retention;
+      record.finished = true;
+      record.outcome = BookingOutcome::NotRun(reason);
+    }
+    return record.finished ? record.outcome : BookingOutcome::Unknown(reason);
+  });
 }
 
 void BookingController::StartRun(const std::string& text,
--- a/Libraries/LibQuery/booking_controller.h
+++ b/Libraries/LibQuery/booking_controller.h
@@ -6,6 +6,7 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -39,6 +40,10 @@
   BookingForwarder& forwarder;
   upstream::SnapshotCatalogue& snapshots;
   std::function<std::shared_ptr<const routing::HolderMap>()> holders;
+  // Decides whether a booking may start; calls back once, perhaps later, with
+  // the reason against it or with nothing.
+  using Verdict = std::function<void(std::optional<base::Error>)>;
+  std::function<void(const Booking&, Verdict)> admit;
   // Told once for each booking that was, or may have been, run here.
   std::function<void(const Booking&)> on_run;
 };
@@ -56,6 +61,13 @@
             base::Instant deadline,
             BookingCallback callback);
 
+  // The outcome of an attempt that is refused before it reaches Book. At the
+  // ticket's issuer an unused ticket becomes void, so that an earlier attempt
+  // that is still on its way can't run after kNotRun has been said.
+  BookingOutcome Refuse(const std::string& ticket,
+                        const std::string& party,
+                        const base::Error& reason);
+
   size_t remembered();
   const BookingRules& rules() const { return rules_; }
 
@@ -74,6 +86,10 @@
                 Booking booking,
                 base::Instant deadline,
                 BookingCallback callback);
+  void Admit(const std::string& text,
+             const Ticket& ticket,
+             const Booking& booking,
+             base::Instant deadline);
   void StartRun(const std::string& text,
                 const Ticket& ticket,
                 const Booking& booking,
--- a/Libraries/LibQuery/execution_filters.cc
+++ b/Libraries/LibQuery/execution_filters.cc
@@ -8,6 +8,46 @@
 
 namespace query {
 
+namespace {
+
+CallerAnswer ToCallerAnswer(BookingOutcome outcome) {
+  CallerAnswer answer;
+  switch (outcome.status) {
+    case BookingStatus::kAnswered:
+      answer.outcome = Outcome::kAnswered;
+      answer.booking = std::move(outcome.answer);
+      break;
+    case BookingStatus::kNotRun:
+      answer.error = std::move(outcome.error);
+      break;
+    case BookingStatus::kUnknown:
+      answer.outcome = Outcome::kUnknown;
+      answer.error = std::move(outcome.error);
+      break;
+  }
+  return answer;
+}
+
+}  // namespace
+
+void TicketFilter::Handle(ContextPtr context, Next next) {
+  if (context->request.operation == Operation::kBooking) {
+    context->respond = [this, ticket = context->request.ticket,
+                        party = context->request.party,
+                        respond =
+                            std::move(context->respond)](CallerAnswer answer) {
+      // NOTE: Whoever does not prove the party can't void its ticket.
+      const bool is_refusal =
+          answer.outcome == Outcome::kNotRun && !answer.is_issuers_word &&
+          answer.error->kind() != base::ErrorKind::kUnauthorized;
+      if (is_refusal)
+        answer = ToCallerAnswer(bookings_.Refuse(ticket, party, *answer.error));
+      respond(std::move(answer));
+    };
+  }
+  next(std::move(context));
+}
+
 UsageFilter::UsageFilter(usage::UsageLedger& ledger,
                          limits::LimitController& limits)
     : ledger_(ledger), limits_(limits) {}
@@ -83,20 +123,8 @@
   bookings_.Book(request.ticket,
                  {request.party, request.upstream, request.key, request.body},
                  context->deadline, [context](BookingOutcome outcome) {
-                   CallerAnswer answer;
-                   switch (outcome.status) {
-                     case BookingStatus::kAnswered:
-                       answer.outcome = Outcome::kAnswered;
-                       answer.booking = std::move(outcome.answer);
-                       break;
-                     case BookingStatus::kNotRun:
-                       answer.error = std::move(outcome.error);
-                       break;
-                     case BookingStatus::kUnknown:
-                       answer.outcome = Outcome::kUnknown;
-                       answer.error = std::move(outcome.error);
-                       break;
-                   }
+                   CallerAnswer answer = ToCallerAnswer(std::move(outcome));
+                   answer.is_issuers_word = true;
                    context->respond(std::move(answer));
                  });
 }
--- a/Libraries/LibQuery/execution_filters.h
+++ b/Libraries/LibQuery/execution_filters.h
@@ -26,6 +26,17 @@
   limits::LimitController& limits_;
 };
 
+// Stands first: makes refusals of bookings by later filters speak for the
+// ticket, not just for one attempt.
+class TicketFilter final : public Filter {
+ public:
+  explicit TicketFilter(BookingController& bookings) : bookings_(bookings) {}
+  void Handle(ContextPtr context, Next next) override;
+
+ private:
+  BookingController& bookings_;
+};
+
 class ExecutionFilter final : public Filter {
  public:
   ExecutionFilter(RootCoordinator& coordinator, BookingController& bookings);
--- a/Libraries/LibQuery/request_context.h
+++ b/Libraries/LibQuery/request_context.h
@@ -46,6 +46,8 @@
   std::string ticket;
   base::Duration ticket_life{};
   std::string booking;  // A JSON value.
+  // Whether the outcome of a booking was found by the ticket's issuer.
+  bool is_issuers_word = false;
 
   static CallerAnswer NotRun(base::Error error) {
     CallerAnswer answer;
--- a/Services/celerycroft/publish_command.cc
+++ b/Services/celerycroft/publish_command.cc
@@ -9,12 +9,12 @@
 
 #include "LibBase/digest.h"
 #include "LibPlatform/manifest_watcher.h"
+#include "LibPlatform/publisher.h"
 #include "LibPlatform/usage_reporter.h"
 #include "LibUsage/reckoning.h"
 #include "blocking_client.h"
 #include "commands.h"
 #include "exit_code.h"
-#include "publisher.h"
 
 namespace celerycroft {
 
@@ -110,7 +110,7 @@
   return exit_code;
 }
 
-StoreCalls CallsOf(BlockingStore& store) {
+platform::StoreCalls CallsOf(BlockingStore& store) {
   return {
       [&](const std::string& key) { return store.Get(key); },
       [&](const std::string& key, uint64_t expected, const std::string& value) {
--- /dev/null
+++ b/Tests/Fakes/fake_server.cc
@@ -0,0 +1,178 @@
+// A server of an upstream in virtual time.
+
+#include "Fakes/fake_server.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fakes {
+
+using upstream::ShardFailure;
+using upstream::ShardOutcome;
+
+namespace {
+
+constexpr size_t kQueuePerSlot = 32;
+
+}  // namespace
+
+std::string ItemsOf(uint64_t version,
+                    uint32_t shard,
+                    const std::string& query) {
+  return "\"" + std::to_string(version) + "/" + std::to_string(shard) + "/" +
+         query + "\"";
+}
+
+FakeServer::FakeServer(VirtualScheduler& scheduler,
+                       base::Random& random,
+                       std::string address,
+                       int slots,
+                       int connection_limit,
+                       ServiceTime service_time)
+    : scheduler_(scheduler),
+      random_(random),
+      address_(std::move(address)),
+      slots_(slots),
+      connection_limit_(connection_limit),
+      service_time_(std::move(service_time)) {}
+
+bool FakeServer::Connect() {
+  if (faults.dead || connections_ >= connection_limit_)
+    return false;
+  ++connections_;
+  record_.most_connections = std::max(record_.most_connections, connections_);
+  return true;
+}
+
+void FakeServer::SetHeld(std::vector<upstream::HeldIndex> held) {
+  held_ = std::move(held);
+  ++sequence_;
+}
+
+void FakeServer::SetLeaving(bool leaving) {
+  first_sign_.reset();
+  faults.leaving = leaving;
+  ++sequence_;
+}
+
+void FakeServer::Revive() {
+  ++incarnation_;
+  first_sign_.reset();
+  faults = {};
+  queue_.clear();
+  running_ = 0;
+}
+
+// Called when work is offered while the server leaves.
+void FakeServer::NoteOffer() {
+  const base::Instant now = scheduler_.Now();
+  if (!first_sign_)
+    first_sign_ = now;
+  if (now - *first_sign_ > kLeavingGrace)
+    ++record_.late_offers;
+}
+
+upstream::ServerReport FakeServer::Report() {
+  const bool leaving = faults.leaving && !faults.lies;
+  if (leaving && !first_sign_)
+    first_sign_ = scheduler_.Now();
+  return {address_, incarnation_, sequence_,
+          leaving ? upstream::ServerPhase::kLeaving
+                  : upstream::ServerPhase::kServing,
+          held_};
+}
+
+ShardOutcome FakeServer::Answer(const upstream::ShardCall& call) {
+  const auto held =
+      std::ranges::find(held_, call.version, &upstream::HeldIndex::version);
+  if (held == held_.end())
+    return tl::make_unexpected(ShardFailure::kVersionGone);
+  upstream::ShardReply reply{
+      call.request_id, call.attempt, held->version, held->shard_count, {}};
+  for (const uint32_t shard : call.shards)
+    reply.results.push_back({shard, ItemsOf(held->version, shard, call.query)});
+  if (faults.foreign_answers > 0) {
+    --faults.foreign_answers;
+    reply.request_id += "x";
+  }
+  if (faults.short_answers > 0) {
+    --faults.short_answers;
+    reply.results.pop_back();
+  }
+  return reply;
+}
+
+void FakeServer::RunShards(const upstream::ShardCall& call,
+                           base::Instant deadline,
+                           std::function<void(ShardOutcome)> done) {
+  if (faults.dead)
+    return;
+  if (faults.leaving) {
+    NoteOffer();
+    done(tl::make_unexpected(ShardFailure::kLeaving));
+    return;
+  }
+  Enqueue({deadline, incarnation_,
+           [this, call, done] {
+             ++record_.shard_calls;
+             record_.queries.insert(call.query);
+             done(Answer(call));
+           },
+           [done] { done(tl::make_unexpected(ShardFailure::kOverloaded)); }});
+}
+
+void FakeServer::RunBooking(const std::string& run_id,
+                            base::Instant deadline,
+                            std::function<void(query::BookingOutcome)> done) {
+  if (faults.dead)
+    return;
+  const auto refuse = [done](base::ErrorKind kind) {
+    done(query::BookingOutcome::NotRun(
+        base::Error(kind, "refused", "try another server")));
+  };
+  if (faults.leaving) {
+    NoteOffer();
+    refuse(base::ErrorKind::kCancelled);
+    return;
+  }
+  Enqueue({deadline, incarnation_,
+           [this, run_id, done] {
+             ++record_.booking_runs[run_id];
+             done(query::BookingOutcome::Answered("\"" + run_id + "\""));
+           },
+           [refuse] { refuse(base::ErrorKind::kOverloaded); }});
+}
+
+void FakeServer::Enqueue(Work work) {
+  if (queue_.size() >= kQueuePerSlot * static_cast<size_t>(slots_)) {
+    ++record_.shed;
+    work.drop();
+    return;
+  }
+  queue_.push_back(std::move(work));
+  StartWaiting();
+}
+
+void FakeServer::StartWaiting() {
+  while (running_ < slots_ && !queue_.empty() && !faults.stalled) {
+    Work work = std::move(queue_.front());
+    queue_.pop_front();
+    if (scheduler_.Now() >= work.deadline) {
+      ++record_.shed;
+      work.drop();
+      continue;
+    }
+    ++running_;
+    const auto time = std::chrono::duration_cast<base::Duration>(
+        service_time_(random_) * faults.straggle);
+    scheduler_.After(time, [this, work = std::move(work)] {
+      if (work.incarnation != incarnation_ || faults.dead)
+        return;
+      --running_;
+      work.run();
+      StartWaiting();
+    });
+  }
+}
+
+}  // namespace fakes
