LibLimits: Ask ahead only while there is demand

Ruled out: the fake scheduler (the stack shows OnGrant, AskIfNeeded, Ask, Give in turn). Change: after a grant only waiters that came meanwhile cause a question. The oracle compares a revision with what was answered before the request began: the trace 'cut(29, 119) publish query(191, 40) run query(0, 94)' shows two overlapping requests of one caller, of which the first ends under the revision it began with; that is allowed.

--- a/Libraries/LibLimits/limit_controller.cc
+++ b/Libraries/LibLimits/limit_controller.cc
@@ -148,7 +148,10 @@
       (paid ? served.taken : served.refused)
           .push_back(std::move(waiter.callback));
     }
-    AskIfNeeded(name, account);
+    // NOTE: Only for waiters that came meanwhile; asking ahead here would ask
+    // an owner that has nothing to give without end.
+    if (!account.waiters.empty())
+      AskIfNeeded(name, account);
   });
   served.Run();
 }
