--- a/Tests/Fakes/fake_network.cc
+++ b/Tests/Fakes/fake_network.cc
@@ -470,7 +470,8 @@
     });
     return;
   }
-  scheduler_.After(state_.delay, [callback, value] { callback(value); });
+  scheduler_.After(state_.AnswerDelay(),
+                   [callback, value] { callback(value); });
 }
 
 void FakeStore::CompareAndSwap(const std::string& key,
@@ -500,7 +501,8 @@
     fail(base::ErrorKind::kTimeout, kStoreTimeout);
     return;
   }
-  scheduler_.After(state_.delay, [callback, version] { callback(version); });
+  scheduler_.After(state_.AnswerDelay(),
+                   [callback, version] { callback(version); });
 }
 
 }  // namespace fakes
--- a/Tests/Fakes/fake_network.h
+++ b/Tests/Fakes/fake_network.h
@@ -13,6 +13,7 @@
 
 #include "Fakes/fake_server.h"
 #include "Fakes/virtual_scheduler.h"
+#include "LibBase/random.h"
 #include "LibPeer/caller.h"
 #include "LibPeer/handler.h"
 #include "LibPlatform/key_value_store.h"
@@ -232,6 +233,14 @@
   uint64_t reads = 0;
   uint64_t writes = 0;
   base::Duration delay = std::chrono::milliseconds(2);
+  // Each answer takes up to this much longer, so that they may cross.
+  base::Duration jitter{};
+  base::SeededRandom random{1};
+
+  base::Duration AnswerDelay() {
+    const auto spread = static_cast<uint64_t>(jitter.count()) + 1;
+    return delay + base::Duration(static_cast<int64_t>(random.Below(spread)));
+  }
 };
 
 class FakeStore final : public platform::KeyValueStore {
--- a/Tests/Fakes/fake_server.cc
+++ b/Tests/Fakes/fake_server.cc
@@ -83,8 +83,12 @@
 }
 
 ShardOutcome FakeServer::Answer(const upstream::ShardCall& call) {
-  const auto held =
+  auto held =
       std::ranges::find(held_, call.version, &upstream::HeldIndex::version);
+  if (faults.other_versions > 0 && !held_.empty()) {
+    --faults.other_versions;
+    held = std::ranges::max_element(held_, {}, &upstream::HeldIndex::version);
+  }
   if (held == held_.end())
     return tl::make_unexpected(ShardFailure::kVersionGone);
   upstream::ShardReply reply{
--- a/Tests/Fakes/fake_server.h
+++ b/Tests/Fakes/fake_server.h
@@ -35,6 +35,7 @@
     bool leaving = false;
     bool lies = false;        // The report denies that it leaves.
     int foreign_answers = 0;  // The next answers belong to another request.
+    int other_versions = 0;   // The next answers are of the newest version.
     int short_answers = 0;    // The next answers lack a shard.
   };
   struct Record {
--- a/Tests/LibNode/oracle.cc
+++ b/Tests/LibNode/oracle.cc
@@ -19,6 +19,8 @@
 constexpr base::Duration kHolderAsks = std::chrono::milliseconds(300);
 constexpr double kSilentShare = 0.5;
 constexpr int kZones = 3;
+constexpr base::Duration kLoadPeriod = std::chrono::milliseconds(40);
+constexpr int kLoadsPerBooking = 5;
 
 std::string PartyOf(int caller) {
   return caller % 2 == 0 ? "party-a" : "party-b";
@@ -310,8 +312,27 @@
     tier_.transport(node).SilenceConnections(kSilentShare, tier_.random());
 }
 
+// Callers go on asking whatever happens.
+void Oracle::Load() {
+  ++loads_;
+  const int node = loads_ % tier_.node_count();
+  if (tier_.IsAccepting(node))
+    Query(node, loads_ % 3);
+  if (loads_ % kLoadsPerBooking == 0)
+    Book(node, (node + loads_ / kLoadsPerBooking) % tier_.node_count());
+}
+
 void Oracle::Run(base::Duration duration) {
-  tier_.clock().RunFor(duration);
+  for (base::Duration left = duration; left > base::Duration::zero();
+       left -= kLoadPeriod) {
+    Load();
+    tier_.clock().RunFor(std::min(left, kLoadPeriod));
+  }
+}
+
+void Oracle::SetStoreJitter(base::Duration jitter) {
+  ++disturbance_.of_tier;
+  tier_.store().jitter = jitter;
 }
 
 int Oracle::RunsOf(const std::string& ticket) {
@@ -333,9 +354,10 @@
 void Oracle::Settle() {
   Heal();
   SetOutage(false);
+  SetStoreJitter({});
   for (int node = 0; node < tier_.node_count(); ++node)
     Resume(node);
-  Run(kSettleTime);
+  tier_.clock().RunFor(kSettleTime);
   for (const std::string& text : not_run_queries_) {
     if (WasQueryRun(text))
       Report(Promise::kNotRunIsTrue, text + " was run");
--- a/Tests/LibNode/oracle.h
+++ b/Tests/LibNode/oracle.h
@@ -57,6 +57,7 @@
   void Run(base::Duration duration);
   fakes::FakeServer& server(int index);
   void SilenceConnections();
+  void SetStoreJitter(base::Duration jitter);
 
   // Ends all faults, lets everything finish, and judges the whole run.
   void Settle();
@@ -82,6 +83,7 @@
     std::map<int, uint64_t> of_node;  // Ends, freezes.
   };
 
+  void Load();
   void Report(Promise promise, std::string what);
   void OnQueryAnswer(const std::string& text,
                      int node,
@@ -111,6 +113,7 @@
   bool faulty_ = false;  // A cut or an outage is in force.
   uint64_t index_version_ = 1;
   int next_query_ = 1;
+  int loads_ = 0;
   int asked_ = 0;
   int answered_ = 0;
   int bookings_ = 0;
--- a/Tests/LibNode/promises_fuzz_test.cc
+++ b/Tests/LibNode/promises_fuzz_test.cc
@@ -44,6 +44,8 @@
   kServerStalls,
   kForeignAnswer,
   kShortAnswer,
+  kOtherVersion,
+  kStoreSlow,
   kSilence,
   kLast = kSilence,
 };
@@ -60,7 +62,8 @@
                                "serverDies",   "serverReturns",
                                "serverLeaves", "serverStraggles",
                                "serverStalls", "foreignAnswer",
-                               "shortAnswer",  "silence"};
+                               "shortAnswer",  "otherVersion",
+                               "storeSlow",    "silence"};
 
 struct Step : rc::state::Command<Model, oracle::Oracle> {
   Kind kind;
@@ -74,7 +77,7 @@
         b(*rc::gen::inRange(0, 1000)) {
     // Half of all steps are work, so that faults meet something.
     if (*rc::gen::inRange(0, 2) == 0)
-      kind = std::array{Kind::kQuery, Kind::kBook, Kind::kRun,
+      kind = std::array{Kind::kBook, Kind::kRun, Kind::kRun,
                         Kind::kPublish}[static_cast<size_t>(a) % 4];
   }
 
@@ -98,7 +101,7 @@
         sut.Publish();
         break;
       case Kind::kRun:
-        sut.Run(std::chrono::milliseconds(b % 4 == 0 ? b * 4 : b / 4));
+        sut.Run(std::chrono::milliseconds(b % 4 == 0 ? b * 4 : b));
         break;
       case Kind::kKill:
         sut.Kill(node);
@@ -160,10 +163,16 @@
         server.StartWaiting();
         break;
       case Kind::kForeignAnswer:
-        ++server.faults.foreign_answers;
+        server.faults.foreign_answers += 5;
         break;
       case Kind::kShortAnswer:
-        ++server.faults.short_answers;
+        server.faults.short_answers += 5;
+        break;
+      case Kind::kOtherVersion:
+        server.faults.other_versions += 5;
+        break;
+      case Kind::kStoreSlow:
+        sut.SetStoreJitter(std::chrono::milliseconds(a * 2));
         break;
       case Kind::kSilence:
         sut.SilenceConnections();
