--- /dev/null
+++ b/Benchmarks/capacity_bench.cc
@@ -0,0 +1,3 @@
+int main() {
+  return 0;
+}
