LibMembership: Compare facts whenever a node is quiet

(3) Content that no source had was never fetched again. Change: a quiet node sends 32 bucket hashes with each probe; a gate holds work back after a pause of 1 s, and in a new process, until facts were compared with a peer; missing content is tried again.

--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -27,14 +27,14 @@
 };
 
 // Hashes over the facts whose keys fall into each bucket.
-inline constexpr size_t kFactBuckets = 64;
+inline constexpr size_t kFactBuckets = 32;
 using BucketHashes = std::vector<uint64_t>;  // Empty or kFactBuckets long.
 
 struct GossipMessage {
   std::string sender_address;  // Where the sender's peers reach it.
   std::vector<Fact> facts;
-  // Sent now and then to find what rumours missed; the receiver answers with
-  // its facts of the buckets that differ and names those buckets.
+  // Sent while there are no rumours, to find what they missed; the receiver
+  // answers with its facts of the buckets that differ and names them.
   BucketHashes bucket_hashes;
   std::vector<uint32_t> wanted_buckets;
 
--- a/Libraries/LibMembership/fact_table.cc
+++ b/Libraries/LibMembership/fact_table.cc
@@ -41,9 +41,12 @@
   {
     const std::lock_guard lock(mutex_);
     const auto found = entries_.find(fact.key);
-    if (found != entries_.end() && found->second.fact.version >= fact.version)
+    if (found != entries_.end() && found->second.version >= fact.version)
       return false;
-    entries_.insert_or_assign(fact.key, Entry{fact, 0});
+    if (found != entries_.end())
+      hashes_[BucketOf(fact.key)] ^= HashOf(found->second);
+    hashes_[BucketOf(fact.key)] ^= HashOf(fact);
+    entries_.insert_or_assign(fact.key, fact);
     hot_[fact.key] = 0;
   }
   for (const Listener& listener : listeners_)
@@ -63,7 +66,7 @@
   std::vector<Fact> rumours;
   size_t bytes = 0;
   for (const auto& [times, key] : order) {
-    const Fact& fact = entries_.find(key)->second.fact;
+    const Fact& fact = entries_.find(key)->second;
     if (bytes + SizeOf(fact) > max_bytes && !rumours.empty())
       break;
     bytes += SizeOf(fact);
@@ -83,10 +86,7 @@
 
 BucketHashes FactTable::Hashes() {
   const std::lock_guard lock(mutex_);
-  BucketHashes hashes(kFactBuckets, 0);
-  for (const auto& [key, entry] : entries_)
-    hashes[BucketOf(key)] ^= HashOf(entry.fact);
-  return hashes;
+  return hashes_;
 }
 
 std::vector<uint32_t> FactTable::DifferingBuckets(const BucketHashes& theirs) {
@@ -105,13 +105,13 @@
   const std::lock_guard lock(mutex_);
   std::vector<Fact> facts;
   size_t bytes = 0;
-  for (const auto& [key, entry] : entries_) {
+  for (const auto& [key, fact] : entries_) {
     if (std::ranges::find(buckets, BucketOf(key)) == buckets.end())
       continue;
-    bytes += SizeOf(entry.fact);
+    bytes += SizeOf(fact);
     if (bytes > max_bytes)
       break;
-    facts.push_back(entry.fact);
+    facts.push_back(fact);
   }
   return facts;
 }
@@ -121,13 +121,17 @@
   std::vector<Fact> facts;
   for (auto it = entries_.lower_bound(prefix);
        it != entries_.end() && it->first.starts_with(prefix); ++it)
-    facts.push_back(it->second.fact);
+    facts.push_back(it->second);
   return facts;
 }
 
 void FactTable::Forget(const std::string& key) {
   const std::lock_guard lock(mutex_);
-  entries_.erase(key);
+  const auto found = entries_.find(key);
+  if (found == entries_.end())
+    return;
+  hashes_[BucketOf(key)] ^= HashOf(found->second);
+  entries_.erase(found);
   hot_.erase(key);
 }
 
--- a/Libraries/LibMembership/fact_table.h
+++ b/Libraries/LibMembership/fact_table.h
@@ -43,13 +43,9 @@
   size_t size();
 
  private:
-  struct Entry {
-    Fact fact;
-    uint32_t times_sent = 0;
-  };
-
   std::mutex mutex_;
-  std::map<std::string, Entry, std::less<>> entries_;  // Guarded by `mutex_`.
+  std::map<std::string, Fact, std::less<>> entries_;     // Guarded by `mutex_`.
+  BucketHashes hashes_ = BucketHashes(kFactBuckets, 0);  // Of `entries_`.
   std::map<std::string, uint32_t> hot_;  // Keys still spread; as above.
   std::vector<Listener> listeners_;
 };
--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -13,6 +13,15 @@
 
 namespace membership {
 
+namespace {
+
+// Peers tried for one comparison of facts.
+constexpr size_t kSyncCandidates = 4;
+// Rounds of a new node in which it compares all facts.
+constexpr uint64_t kFirstRounds = 3;
+
+}  // namespace
+
 std::shared_ptr<MembershipController> MembershipController::Create(
     Member self,
     std::vector<std::string> seeds,
@@ -157,8 +166,9 @@
     message.sender_address = self_.peer_address;
     member_count = members_.size() + 1;
     // NOTE: The first rounds compare everything, so that a new node is whole
-    // after one exchange.
-    sync = round_ <= 3 || round_ % rules_.sync_rounds == 0;
+    // after one exchange. Later a quiet node compares: rumours are sent a
+    // bounded number of times and may die out before they reach everyone.
+    sync = round_ <= kFirstRounds || !facts_.has_rumours();
   }
   message.facts = facts_.TakeRumours(rules_.max_rumour_bytes, member_count);
   if (sync)
@@ -271,6 +281,53 @@
   }
 }
 
+void MembershipController::Synchronize(std::function<void()> done) {
+  std::vector<std::string> addresses;
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [id, known] : members_) {
+      if (known.member.state != MemberState::kDead)
+        addresses.push_back(known.member.peer_address);
+    }
+    for (const std::string& seed : seeds_) {
+      if (std::ranges::find(addresses, seed) == addresses.end())
+        addresses.push_back(seed);
+    }
+    while (addresses.size() > kSyncCandidates) {
+      std::swap(addresses[random_.Below(addresses.size())], addresses.back());
+      addresses.pop_back();
+    }
+  }
+  SynchronizeWith(std::move(addresses), std::move(done));
+}
+
+void MembershipController::SynchronizeWith(std::vector<std::string> addresses,
+                                           std::function<void()> done) {
+  if (addresses.empty()) {
+    done();
+    return;
+  }
+  const std::string address = addresses.back();
+  addresses.pop_back();
+  GossipMessage message;
+  message.sender_address = self().peer_address;
+  message.bucket_hashes = facts_.Hashes();
+  link_.Gossip(
+      address, std::move(message), rules_.probe_timeout,
+      [weak = weak_from_this(), address, addresses = std::move(addresses),
+       done = std::move(done)](auto reply) mutable {
+        const auto controller = weak.lock();
+        if (!controller)
+          return;
+        if (!reply) {
+          controller->SynchronizeWith(std::move(addresses), std::move(done));
+          return;
+        }
+        controller->OnReply(address, *reply);
+        done();
+      });
+}
+
 void MembershipController::Absorb(const GossipMessage& message) {
   for (const Fact& fact : message.facts)
     facts_.Offer(fact);
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -30,8 +30,6 @@
   base::Duration tombstone = std::chrono::minutes(10);
   size_t max_rumour_bytes = size_t{8} * 1024;
   size_t max_sync_bytes = size_t{64} * 1024;
-  // A full comparison of facts every so many periods.
-  uint64_t sync_rounds = 25;
   // Peers asked to probe a silent one.
   size_t indirect_probes = 2;
 
@@ -57,6 +55,10 @@
   // Announces that this node takes no new work.
   void AnnounceLeaving();
 
+  // Compares all facts with a peer now and calls `done` once it has answered,
+  // or once no peer did: then this node is alone.
+  void Synchronize(std::function<void()> done);
+
   // The answer to a peer's gossip.
   GossipMessage OnGossip(const GossipMessage& message);
 
@@ -78,6 +80,8 @@
                        FactTable& facts,
                        PeerLink& link);
 
+  void SynchronizeWith(std::vector<std::string> addresses,
+                       std::function<void()> done);
   void RunPeriod();
   std::string NextTarget();
   void Refill();
--- a/Libraries/LibNode/node_core.cc
+++ b/Libraries/LibNode/node_core.cc
@@ -30,8 +30,7 @@
 constexpr double kExtraLoadBurst = 10;  // Sub-requests.
 constexpr base::Duration kHostListPeriod = std::chrono::seconds(5);
 constexpr base::Duration kUsagePushTimeout = std::chrono::milliseconds(500);
-constexpr base::Duration kPauseCheckPeriod = std::chrono::milliseconds(200);
-constexpr base::Duration kLongestPause = std::chrono::seconds(1);
+constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(200);
 constexpr double kUsageHeadroomSeconds = 3;
 
 membership::Member MakeSelf(const config::Settings& settings,
@@ -113,6 +112,10 @@
           world_.random,
           facts_,
           links_)),
+      gate_(world_.scheduler,
+            [this](std::function<void()> done) {
+              membership_->Synchronize(std::move(done));
+            }),
       snapshots_(world_.scheduler),
       poller_(upstream::ReportPoller::Create(
           world_.scheduler,
@@ -228,7 +231,7 @@
   poller_->Start();
   usage_reporter_->Start();
   ReadHostList();
-  WatchForPauses(world_.scheduler.Now() + kPauseCheckPeriod);
+  RunHousekeeping();
 }
 
 // The configuration to answer under, or null until this process has read the
@@ -268,14 +271,10 @@
   world_.scheduler.After(kHostListPeriod, [this] { ReadHostList(); });
 }
 
-void NodeCore::WatchForPauses(base::Instant expected) {
-  const base::Instant now = world_.scheduler.Now();
-  if (now - expected > kLongestPause)
-    base::Log(Event::kPauseDetected,
-              {{"ms", std::to_string(base::ToMilliseconds(now - expected))}});
-  world_.scheduler.After(
-      kPauseCheckPeriod,
-      [this, next = now + kPauseCheckPeriod] { WatchForPauses(next); });
+void NodeCore::RunHousekeeping() {
+  gate_.Tick();
+  configuration_->RetryIfMissing();
+  world_.scheduler.After(kHousekeepingPeriod, [this] { RunHousekeeping(); });
 }
 
 int NodeCore::ConnectionsFor(const std::string& name) {
@@ -352,11 +351,16 @@
 void NodeCore::ExecuteLeaf(query::LeafRequest request,
                            std::function<void(query::LeafAnswer)> callback) {
   ++running_;
-  leaf_.Execute(configuration_->Current(), std::move(request),
-                [this, callback = std::move(callback)](auto answer) {
-                  callback(std::move(answer));
-                  --running_;
-                });
+  const base::Instant deadline = world_.scheduler.Now() + request.time_left;
+  gate_.RunWhenFresh([this, request = std::move(request), deadline,
+                      callback = std::move(callback)]() mutable {
+    request.time_left = deadline - world_.scheduler.Now();
+    leaf_.Execute(configuration_->Current(), std::move(request),
+                  [this, callback = std::move(callback)](auto answer) {
+                    callback(std::move(answer));
+                    --running_;
+                  });
+  });
 }
 
 membership::GossipMessage NodeCore::Gossip(
@@ -380,11 +384,16 @@
 void NodeCore::RunBooking(query::BookingRun run,
                           query::BookingCallback callback) {
   ++running_;
-  booking_runner_.Run(configuration_->Current(), std::move(run),
-                      [this, callback = std::move(callback)](auto outcome) {
-                        callback(std::move(outcome));
-                        --running_;
-                      });
+  const base::Instant deadline = world_.scheduler.Now() + run.time_left;
+  gate_.RunWhenFresh([this, run = std::move(run), deadline,
+                      callback = std::move(callback)]() mutable {
+    run.time_left = deadline - world_.scheduler.Now();
+    booking_runner_.Run(configuration_->Current(), std::move(run),
+                        [this, callback = std::move(callback)](auto outcome) {
+                          callback(std::move(outcome));
+                          --running_;
+                        });
+  });
 }
 
 void NodeCore::ForwardBooking(const std::string& ticket,
--- a/Libraries/LibNode/node_core.h
+++ b/Libraries/LibNode/node_core.h
@@ -20,6 +20,7 @@
 #include "LibLimits/grant_owner.h"
 #include "LibLimits/limit_controller.h"
 #include "LibMembership/membership_controller.h"
+#include "LibNode/freshness_gate.h"
 #include "LibNode/peer_links.h"
 #include "LibPeer/caller.h"
 #include "LibPeer/handler.h"
@@ -137,7 +138,7 @@
   std::optional<limits::AccountTerms> TermsOf(const std::string& account);
   void RefreshView();
   void ReadHostList();
-  void WatchForPauses(base::Instant expected);
+  void RunHousekeeping();
   config::ConfigurationPtr AnsweringConfiguration();
   std::vector<upstream::ServerTarget> HeldServers();
   void OnFact(const membership::Fact& fact);
@@ -161,6 +162,7 @@
   std::shared_ptr<platform::ManifestWatcher> watcher_;
   membership::FactTable facts_;
   std::shared_ptr<membership::MembershipController> membership_;
+  FreshnessGate gate_;
 
   upstream::ServerTable servers_;
   upstream::SnapshotCatalogue snapshots_;
--- a/Libraries/LibPlatform/configuration_controller.cc
+++ b/Libraries/LibPlatform/configuration_controller.cc
@@ -53,6 +53,16 @@
   FetchFrom(0, manifest);
 }
 
+void ConfigurationController::RetryIfMissing() {
+  std::optional<config::Manifest> missing;
+  {
+    const std::lock_guard lock(mutex_);
+    missing = std::exchange(missing_, std::nullopt);
+  }
+  if (missing)
+    OnManifest(*missing);
+}
+
 void ConfigurationController::FetchFrom(size_t source,
                                         const config::Manifest& manifest) {
   if (source >= sources_.size()) {
--- a/Libraries/LibPlatform/configuration_controller.h
+++ b/Libraries/LibPlatform/configuration_controller.h
@@ -37,6 +37,9 @@
   // fetched and put in force; others are ignored.
   void OnManifest(const config::Manifest& manifest);
 
+  // Fetches again what no source had when it was wanted. Call now and then.
+  void RetryIfMissing();
+
   // Never null; revision 0 while none is known.
   config::ConfigurationPtr Current();
   std::optional<config::Manifest> CurrentManifest();
@@ -69,6 +72,7 @@
   config::ConfigurationPtr current_;
   std::optional<config::Manifest> manifest_;
   std::string content_;
+  std::optional<config::Manifest> missing_;  // Higher than `manifest_`.
   uint64_t fetching_ = 0;  // Revision being fetched; 0 for none.
 };
 
--- a/Tests/LibNode/oracle.h
+++ b/Tests/LibNode/oracle.h
@@ -110,6 +110,7 @@
   std::vector<std::string> not_run_queries_;
   std::set<int> draining_;
   Disturbance disturbance_;
+  bool may_lack_knowledge_ = false;
   bool faulty_ = false;  // A cut or an outage is in force.
   uint64_t index_version_ = 1;
   int next_query_ = 1;
