LibPeer: Keep a connection's bootstrap instead of asking again

Cause, found by the new end-to-end test: after one node was killed the others aborted with 'already shut down'. A bootstrap on a Cap'n Proto connection that has ended opens it anew and throws inside a destructor. Ruled out: our callbacks (the stack ends in TwoPartyVatNetwork). Change: a link asks for the bootstrap once and keeps it.

--- a/Benchmarks/tier_load.cc
+++ b/Benchmarks/tier_load.cc
@@ -51,12 +51,12 @@
 }  // namespace
 
 const std::vector<Deployment>& Deployments() {
-  static const std::vector<Deployment> deployments = {
+  static const std::vector<Deployment> kDeployments = {
       {"sljeme-najam", 2, 25, std::chrono::milliseconds(1),
        std::chrono::milliseconds(800), "latency"},
       {"nabiralnica-vrtovi", 3, 30, std::chrono::milliseconds(3),
        std::chrono::milliseconds(1500), "coverage"}};
-  return deployments;
+  return kDeployments;
 }
 
 base::Duration MeanServiceTime() {
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -19,8 +19,8 @@
 namespace http {
 
 struct ServerLimits {
-  size_t max_header_bytes = 8 * 1024;
-  size_t max_body_bytes = 64 * 1024;
+  size_t max_header_bytes = size_t{8} * 1024;
+  size_t max_body_bytes = size_t{64} * 1024;
   size_t max_connections = 4096;
   // For one whole request once its first byte has come.
   base::Duration request_timeout = std::chrono::seconds(5);
--- a/Libraries/LibNode/peer_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -73,9 +73,8 @@
   // NOTE: Posted, since the caller holds its lock.
   if (node_id == local_.node_id) {
     scheduler_.Post([this, request, callback = std::move(callback)]() mutable {
-      local_.execute_leaf(std::move(request), [callback](auto answer) {
-        callback(std::move(answer));
-      });
+      local_.execute_leaf(
+          request, [callback](auto answer) { callback(std::move(answer)); });
     });
     return;
   }
--- a/Libraries/LibPeer/network.cc
+++ b/Libraries/LibPeer/network.cc
@@ -189,6 +189,9 @@
   struct Link {
     kj::Own<kj::AsyncIoStream> stream;
     kj::Own<capnp::TwoPartyClient> client;
+    // NOTE: Asked for once: a bootstrap on a connection that has ended throws
+    // where nothing can catch it, while calls on this fail as they should.
+    wire::Peer::Client peer = nullptr;
   };
   struct Slot {
     kj::Maybe<kj::Own<Link>> link;
@@ -273,6 +276,7 @@
               auto link = kj::heap<Link>();
               link->stream = kj::mv(stream);
               link->client = kj::heap<capnp::TwoPartyClient>(*link->stream);
+              link->peer = link->client->bootstrap().castAs<wire::Peer>();
               Slot& slot = slots_[address];
               slot.link = kj::mv(link);
               slot.connecting = false;
@@ -312,8 +316,7 @@
         [this, address, delivery, prepare = std::move(prepare)]() mutable {
           KJ_IF_MAYBE (link, slots_[address].link) {
             *delivery = Delivery::kMaybeSent;
-            auto client = (*link)->client->bootstrap().castAs<wire::Peer>();
-            return prepare(client);
+            return prepare((*link)->peer);
           }
           kj::throwFatalException(
               KJ_EXCEPTION(DISCONNECTED, "the connection was closed"));
--- a/Libraries/LibQuery/root_coordinator.cc
+++ b/Libraries/LibQuery/root_coordinator.cc
@@ -38,8 +38,7 @@
       shards.push_back(shard);
   }
   std::ranges::sort(shards);
-  const auto repeated = std::ranges::unique(shards);
-  shards.erase(repeated.begin(), repeated.end());
+  shards.erase(std::unique(shards.begin(), shards.end()), shards.end());
   if (!shards.empty() && shards.back() >= snapshot.shard_count())
     return base::Fail(
         base::ErrorKind::kNotFound,
--- a/Libraries/LibQuery/ticket.cc
+++ b/Libraries/LibQuery/ticket.cc
@@ -2,9 +2,7 @@
 
 #include "LibQuery/ticket.h"
 
-#include <algorithm>
 #include <charconv>
-#include <ranges>
 #include <vector>
 
 #include "LibBase/digest.h"
@@ -29,6 +27,18 @@
                              std::string(party) + "\n" + std::string(sealed));
 }
 
+std::vector<std::string_view> SplitAtDots(std::string_view text) {
+  std::vector<std::string_view> fields;
+  size_t begin = 0;
+  for (size_t dot = text.find('.'); dot != std::string_view::npos;
+       dot = text.find('.', begin)) {
+    fields.push_back(text.substr(begin, dot - begin));
+    begin = dot + 1;
+  }
+  fields.push_back(text.substr(begin));
+  return fields;
+}
+
 template <typename Number>
 std::optional<Number> ParseNumber(std::string_view text) {
   Number number = 0;
@@ -51,9 +61,7 @@
 std::optional<Ticket> ReadTicket(std::string_view text) {
   if (text.size() > kMaxTicketBytes)
     return std::nullopt;
-  std::vector<std::string_view> fields;
-  for (const auto field : std::views::split(text, '.'))
-    fields.emplace_back(field.begin(), field.end());
+  const std::vector<std::string_view> fields = SplitAtDots(text);
   if (fields.size() != kFields || fields[0].empty())
     return std::nullopt;
   const auto sequence = ParseNumber<uint64_t>(fields[2]);
--- a/Libraries/LibRouting/holder_map.cc
+++ b/Libraries/LibRouting/holder_map.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <bit>
-#include <ranges>
 #include <set>
 #include <utility>
 
@@ -27,9 +26,10 @@
           base::StableHash(member.node_id, base::StableHash(block_key)),
           &member);
   }
-  std::ranges::sort(scored, std::greater<>());
+  std::sort(scored.begin(), scored.end(), std::greater<>());
   std::vector<const Member*> ranked;
-  std::ranges::copy(scored | std::views::values, std::back_inserter(ranked));
+  for (const auto& [score, member] : scored)
+    ranked.push_back(member);
   return ranked;
 }
 
@@ -82,10 +82,10 @@
 const std::vector<std::string>& HolderMap::HoldersOf(
     const std::string& upstream,
     size_t service) const {
-  static const std::vector<std::string> none;
+  static const std::vector<std::string> kNone;
   const auto found = holders_.find(upstream);
   if (found == holders_.end() || service >= found->second.size())
-    return none;
+    return kNone;
   return found->second[service];
 }
 
--- a/Services/celerycroft/caller_commands.cc
+++ b/Services/celerycroft/caller_commands.cc
@@ -15,7 +15,9 @@
 
 namespace {
 
-constexpr base::Duration kCallTimeout = std::chrono::seconds(65);
+// Beyond the deadline that a node keeps.
+constexpr base::Duration kAnswerSlack = std::chrono::seconds(1);
+constexpr base::Duration kLongestDeadline = std::chrono::seconds(60);
 constexpr base::Duration kShortTimeout = std::chrono::seconds(2);
 
 base::Result<std::vector<std::string>> FetchAddresses(const std::string& host) {
@@ -75,8 +77,12 @@
       base::Error(base::ErrorKind::kUnavailable, "no address was tried",
                   "ask another entry host"),
       http::SentState::kNothingSent});
+  const base::Duration timeout =
+      kAnswerSlack + (line.deadline_ms
+                          ? std::chrono::milliseconds(*line.deadline_ms)
+                          : kLongestDeadline);
   for (const std::string& address : *addresses) {
-    result = ExchangeAndWait(address, request, kCallTimeout);
+    result = ExchangeAndWait(address, request, timeout);
     if (!ShouldAskAnother(result))
       break;
   }
--- a/Tests/StandIns/key_value_service.cc
+++ b/Tests/StandIns/key_value_service.cc
@@ -10,7 +10,7 @@
 
 namespace {
 
-constexpr size_t kMaxValueBytes = 1024 * 1024;
+constexpr size_t kMaxValueBytes = size_t{1024} * 1024;
 constexpr std::string_view kKeyPath = "/kv/";
 constexpr std::string_view kLeasePath = "/leases/";
 
--- a/Tests/StandIns/main.cc
+++ b/Tests/StandIns/main.cc
@@ -5,10 +5,17 @@
 //     servers hold.
 // celerycroft-standins count-bookings CONTROL
 //     prints how many runs of bookings the servers recorded.
+// celerycroft-standins control CONTROL PATH BODY
+//     turns faults on and off, or reads the records.
+// celerycroft-standins hold-and-ask HOST PARTY KEYFILE UPSTREAM MILLISECONDS
+//     is a caller that asks the one address it holds, one query after the
+//     other, and counts those that are cut off.
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <chrono>
 #include <csignal>
+#include <fstream>
 #include <iostream>
 #include <iterator>
 #include <nlohmann/json.hpp>
@@ -82,16 +89,30 @@
   return 0;
 }
 
-int CountBookings(const std::vector<std::string>& words) {
+// One exchange, waited for.
+http::ExchangeResult ExchangeAndWait(const std::string& address,
+                                     http::Request request) {
   boost::asio::io_context io;
-  std::string text;
-  http::ExchangeOnce(io, words[1], {"GET", "/records", {}, ""},
-                     std::chrono::seconds(2), [&](auto result) {
-                       if (result)
-                         text = result->body;
-                     });
+  http::ExchangeResult answer;
+  http::ExchangeOnce(io, address, std::move(request), std::chrono::seconds(2),
+                     [&](auto result) { answer = std::move(result); });
   io.run();
-  const json records = json::parse(text, nullptr, false);
+  return answer;
+}
+
+int SendControl(const std::vector<std::string>& words) {
+  const auto answer =
+      ExchangeAndWait(words[1], {"POST", words[2], {}, words[3]});
+  if (!answer)
+    return Report(answer.error().error);
+  std::cout << answer->body << "\n";
+  return 0;
+}
+
+int CountBookings(const std::vector<std::string>& words) {
+  const auto answer = ExchangeAndWait(words[1], {"GET", "/records", {}, ""});
+  const json records =
+      answer ? json::parse(answer->body, nullptr, false) : json(nullptr);
   if (!records.is_object())
     return Fail("the control address does not answer");
   int runs = 0;
@@ -103,6 +124,30 @@
   return 0;
 }
 
+int HoldAndAsk(const std::vector<std::string>& words) {
+  std::ifstream key_file(words[3]);
+  std::string key;
+  std::getline(key_file, key);
+  const http::Request request{
+      "POST",
+      "/v1/query",
+      {{"Celerycroft-Party", words[2]}, {"Authorization", "Bearer " + key}},
+      json{{"upstream", words[4]}, {"query", "held"}}.dump()};
+  const auto end = std::chrono::steady_clock::now() +
+                   std::chrono::milliseconds(std::stoi(words[5]));
+  int asked = 0;
+  int cut_off = 0;
+  while (std::chrono::steady_clock::now() < end) {
+    const auto answer = ExchangeAndWait(words[1], request);
+    ++asked;
+    const json body =
+        answer ? json::parse(answer->body, nullptr, false) : json(nullptr);
+    cut_off += body.is_object() && body.contains("outcome") ? 0 : 1;
+  }
+  std::cout << asked << " asked, " << cut_off << " cut off\n";
+  return 0;
+}
+
 int Main(const std::vector<std::string>& words) {
   if (words.size() == 5 && words[0] == "serve")
     return Serve(words);
@@ -110,9 +155,16 @@
     return CheckQuery(words);
   if (words.size() == 2 && words[0] == "count-bookings")
     return CountBookings(words);
+  if (words.size() == 4 && words[0] == "control")
+    return SendControl(words);
+  if (words.size() == 6 && words[0] == "hold-and-ask")
+    return HoldAndAsk(words);
   std::cerr << "usage: celerycroft-standins serve DIR STORE HOSTLIST CONTROL\n"
                "       celerycroft-standins check-query DIR UPSTREAM TEXT\n"
-               "       celerycroft-standins count-bookings CONTROL\n";
+               "       celerycroft-standins count-bookings CONTROL\n"
+               "       celerycroft-standins control CONTROL PATH BODY\n"
+               "       celerycroft-standins hold-and-ask HOST PARTY KEYFILE "
+               "UPSTREAM MILLISECONDS\n";
   return kUsage;
 }
 
