LibUpstream: Log servers that can't be reached and new index versions

Cause: events 401 and 403 stood in the catalogue and were never written. Change: each is written on the change, not for every call.

--- a/Benchmarks/tier_bench.cc
+++ b/Benchmarks/tier_bench.cc
@@ -208,7 +208,6 @@
   }
   std::ranges::sort(refusals);
   const double slowest = refusals.empty() ? 0 : refusals.back();
-  static_cast<void>(offered);
   return {AtLeast("goodput of capacity", whole / capacity, 0.9),
           AtMost("slowest refusal ms", slowest, 10),
           AtMost("attempts per request", attempts / entered, 1.1)};
--- a/Libraries/LibUpstream/server_table.cc
+++ b/Libraries/LibUpstream/server_table.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <cassert>
 
+#include "LibBase/log.h"
+
 namespace upstream {
 
 namespace {
@@ -60,9 +62,14 @@
 }
 
 void ServerTable::OnUnreachable(const std::string& address, base::Instant now) {
-  entries_.With(address, [&](auto& entries) {
-    entries[address].unreachable_until = now + kUnreachablePause;
+  const bool is_news = entries_.With(address, [&](auto& entries) {
+    base::Instant& until = entries[address].unreachable_until;
+    const bool was_reachable = now >= until;
+    until = now + kUnreachablePause;
+    return was_reachable;
   });
+  if (is_news)
+    base::Log(base::Event::kServerUnreachable, {{"server", address}});
 }
 
 bool ServerTable::MarkLeaving(const std::string& address,
--- a/Libraries/LibUpstream/snapshot_catalogue.cc
+++ b/Libraries/LibUpstream/snapshot_catalogue.cc
@@ -6,6 +6,8 @@
 #include <optional>
 #include <utility>
 
+#include "LibBase/log.h"
+
 namespace upstream {
 
 namespace {
@@ -67,13 +69,23 @@
 SnapshotPtr SnapshotCatalogue::Newest(const std::string& upstream) {
   const std::lock_guard lock(mutex_);
   const auto [entry, inserted] = newest_.try_emplace(upstream);
-  if (inserted)
+  if (inserted) {
     entry->second = Compute(upstream);
+    LogIfChanged(upstream, entry->second);
+  }
   if (!entry->second.is_whole && scheduler_.Now() < settled_at_)
     return nullptr;
   return entry->second.snapshot;
 }
 
+void SnapshotCatalogue::LogIfChanged(const std::string& upstream,
+                                     const Choice& choice) {
+  const uint64_t version = choice.snapshot ? choice.snapshot->version : 0;
+  if (std::exchange(logged_versions_[upstream], version) != version)
+    base::Log(base::Event::kSnapshotChanged,
+              {{"upstream", upstream}, {"version", std::to_string(version)}});
+}
+
 SnapshotCatalogue::Choice SnapshotCatalogue::Compute(
     const std::string& upstream) const {
   std::map<uint64_t, Candidate> candidates;
--- a/Libraries/LibUpstream/snapshot_catalogue.h
+++ b/Libraries/LibUpstream/snapshot_catalogue.h
@@ -63,6 +63,7 @@
     bool is_whole = false;
   };
   Choice Compute(const std::string& upstream) const;
+  void LogIfChanged(const std::string& upstream, const Choice& choice);
 
   const base::Scheduler& scheduler_;
   std::mutex mutex_;
@@ -71,6 +72,7 @@
   std::map<std::string, Place> places_;  // By server address.
   std::map<std::string, ServerReport> reports_;
   std::map<std::string, Choice> newest_;  // Absent entries are stale.
+  std::map<std::string, uint64_t> logged_versions_;  // Last told, by upstream.
   base::Instant settled_at_;
 };
 
