Meta: Wait for readiness in the example, and keep its last answer

Ruled out: another process on its addresses (the end-to-end runs had ended). Not ruled out: entry hosts that knew the index but had not read the store yet.

--- a/Meta/example.sh
+++ b/Meta/example.sh
@@ -31,6 +31,11 @@
 pids=()
 
 stop_all() {
+  local code=$?
+  if [ "$code" != 0 ] && [ -e "$logs/answer" ]; then
+    echo "the last answer was:" >&2
+    cat "$logs/answer" >&2
+  fi
   for pid in "${pids[@]}"; do kill -TERM "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
   if [ -z "${KEEP:-}" ]; then rm -rf "$logs"; fi
@@ -59,6 +64,10 @@
   [ "$("$bin" dump --operator 127.0.$net.11:8081 --json |
     grep -o '"nodeId"' | wc -l)" -ge 5 ]
 }
+is_ready() {
+  "$bin" status --operator 127.0.$net.1"$entry":8081 --json |
+    grep -q '"state":"ready"'
+}
 knows_index() {
   "$bin" dump --operator 127.0.$net.1"$entry":8081 --json |
     grep -q "\"$search\":{\"shardCount\""
@@ -76,6 +85,7 @@
 "$bin" publish "$example/agreements" --store "$store" \
   --operator 127.0.$net.11:8081
 for entry in 1 2 3 4; do
+  wait_for "host $entry's readiness" is_ready
   wait_for "a whole index on host $entry" knows_index
 done
 entry=1
