LibBase: Shuffle and sample in one place

Cause: read on the last pass, the loop that keeps a random few of a list stood three times (membership twice, content sources once) and the shuffle twice. Change: base::KeepSample and base::Shuffle serve all five; the draws are the same in number and order.

--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -9,6 +9,7 @@
 #include <utility>
 
 #include "LibBase/log.h"
+#include "LibBase/sampling.h"
 #include "LibMembership/member_codec.h"
 
 namespace membership {
@@ -121,8 +122,7 @@
     if (!known && seed != self_.peer_address)
       targets_.push_back(seed);
   }
-  for (size_t i = targets_.size(); i > 1; --i)
-    std::swap(targets_[i - 1], targets_[random_.Below(i)]);
+  base::Shuffle(targets_, random_);
 }
 
 std::string MembershipController::NextTarget() {
@@ -194,10 +194,7 @@
       if (known.member.is_usable() && known.member.peer_address != address)
         helpers.push_back(known.member.peer_address);
     }
-    while (helpers.size() > rules_.indirect_probes) {
-      std::swap(helpers[random_.Below(helpers.size())], helpers.back());
-      helpers.pop_back();
-    }
+    base::KeepSample(helpers, rules_.indirect_probes, random_);
   }
   if (helpers.empty()) {
     OnProbeFailed(address);
@@ -293,10 +290,7 @@
       if (std::ranges::find(addresses, seed) == addresses.end())
         addresses.push_back(seed);
     }
-    while (addresses.size() > kSyncCandidates) {
-      std::swap(addresses[random_.Below(addresses.size())], addresses.back());
-      addresses.pop_back();
-    }
+    base::KeepSample(addresses, kSyncCandidates, random_);
   }
   SynchronizeWith(std::move(addresses), std::move(done));
 }
--- a/Libraries/LibNode/peer_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -5,6 +5,7 @@
 #include <utility>
 
 #include "LibBase/log.h"
+#include "LibBase/sampling.h"
 #include "LibPlatform/manifest_watcher.h"
 
 namespace node {
@@ -203,10 +204,7 @@
     if (member.node_id != self_ && member.is_usable())
       addresses.push_back(member.peer_address);
   }
-  while (addresses.size() > kContentPeers) {
-    std::swap(addresses[random_.Below(addresses.size())], addresses.back());
-    addresses.pop_back();
-  }
+  base::KeepSample(addresses, kContentPeers, random_);
   FetchFrom(std::move(addresses), digest, std::move(callback));
 }
 
--- a/Libraries/LibRouting/cluster_view.cc
+++ b/Libraries/LibRouting/cluster_view.cc
@@ -5,6 +5,8 @@
 #include <algorithm>
 #include <utility>
 
+#include "LibBase/sampling.h"
+
 namespace routing {
 
 using membership::Member;
@@ -103,8 +105,7 @@
     if (member.state == membership::MemberState::kAlive)
       addresses.push_back(member.caller_address);
   }
-  for (size_t i = addresses.size(); i > 1; --i)
-    std::swap(addresses[i - 1], addresses[random.Below(i)]);
+  base::Shuffle(addresses, random);
   addresses.resize(std::min(count, addresses.size()));
   return addresses;
 }
