--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -51,6 +51,8 @@
      "A server's answer is damaged or belongs to another request."},
     {Event::kSnapshotChanged, Severity::kInfo, "snapshot_changed",
      "Queries pin another index version."},
+    {Event::kClaimRejected, Severity::kWarning, "claim_rejected",
+     "An entry of the server registry can't be used."},
     {Event::kBookingUnknown, Severity::kWarning, "booking_unknown",
      "A booking ended without a known outcome."},
     {Event::kUsageWritten, Severity::kInfo, "usage_written",
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -32,6 +32,7 @@
   kServerUnreachable = 401,
   kServerProtocolError = 402,
   kSnapshotChanged = 403,
+  kClaimRejected = 404,
   kBookingUnknown = 500,
   kUsageWritten = 600,
   kUsageWriteFailed = 601,
--- a/Libraries/LibBase/time.cc
+++ b/Libraries/LibBase/time.cc
@@ -2,11 +2,18 @@
 
 #include "LibBase/time.h"
 
+#include <ctime>
+
 namespace base {
 
 MonotonicClock::time_point MonotonicClock::now() {
-  const auto since_boot = std::chrono::steady_clock::now().time_since_epoch();
-  return time_point(std::chrono::duration_cast<Duration>(since_boot));
+  // NOTE: Unlike the steady clock, this one counts while the host is suspended,
+  // so that leases and holds do not outlive a suspension.
+  timespec since_boot{};
+  clock_gettime(CLOCK_BOOTTIME, &since_boot);
+  return time_point(std::chrono::duration_cast<Duration>(
+      std::chrono::seconds(since_boot.tv_sec) +
+      std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
 }  // namespace base
--- a/Libraries/LibConfig/configuration.h
+++ b/Libraries/LibConfig/configuration.h
@@ -13,6 +13,7 @@
 #include "LibBase/error.h"
 #include "LibConfig/agreement.h"
 #include "LibConfig/issue.h"
+#include "LibConfig/route_table.h"
 #include "LibConfig/upstream.h"
 
 namespace config {
@@ -23,6 +24,7 @@
   std::vector<std::string> availability_zones;  // Of hosts and servers.
   std::vector<Upstream> upstreams;
   std::vector<Agreement> agreements;
+  std::shared_ptr<const RouteTable> routes;  // Null without routes.
 
   const Upstream* FindUpstream(std::string_view name) const;
   const Agreement* FindAgreement(std::string_view party) const;
--- /dev/null
+++ b/Libraries/LibConfig/route_table.cc
@@ -0,0 +1,18 @@
+// Route lookup.
+
+#include "LibConfig/route_table.h"
+
+namespace config {
+
+const Route* RouteTable::Find(std::string_view host,
+                              std::string_view path) const {
+  const Route* best = nullptr;
+  for (const Route& route : routes) {
+    const bool fits = route.host == host && path.starts_with(route.prefix);
+    if (fits && (!best || route.prefix.size() > best->prefix.size()))
+      best = &route;
+  }
+  return best;
+}
+
+}  // namespace config
--- a/Libraries/LibConfig/upstream.h
+++ b/Libraries/LibConfig/upstream.h
@@ -11,8 +11,15 @@
 namespace config {
 
 struct Server {
-  std::string address;  // `IP:PORT`; also the server's identity.
+  std::string address;  // `IP:PORT`.
   std::string availability_zone;
+  // Tells the server from others that had its address before; empty where the
+  // address alone is its identity.
+  std::string instance = {};
+
+  const std::string& identity() const {
+    return instance.empty() ? address : instance;
+  }
 
   bool operator==(const Server&) const = default;
 };
@@ -20,7 +27,7 @@
 // Servers that hold the same shards.
 struct Service {
   std::string name;
-  std::vector<Server> servers;  // Not empty.
+  std::vector<Server> servers;  // Empty only if discovered.
 
   bool operator==(const Service&) const = default;
 };
--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -2,6 +2,8 @@
 
 #include "LibHttp/client.h"
 
+#include <sys/socket.h>
+
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
@@ -27,6 +29,9 @@
   ExchangeResult Failure(beast::error_code error,
                          SentState sent,
                          std::string_view step);
+  // Whether an idle connection was closed by the peer, or holds bytes that
+  // belong to no request.
+  bool HasStirred();
 
   beast::tcp_stream stream;
   const std::string address;
@@ -38,13 +43,17 @@
 
 namespace {
 
+// Longer than a handshake with a busy server, shorter than the second after
+// which a lost opening packet is sent again.
+constexpr base::Duration kConnectTimeout = std::chrono::milliseconds(250);
+
 beast::http::request<beast::http::string_body> ToMessage(Request request) {
   beast::http::request<beast::http::string_body> message;
   message.version(11);
   message.method_string(request.method);
   message.target(request.target);
   for (const Header& header : request.headers)
-    message.set(header.name, header.value);
+    message.insert(header.name, header.value);
   message.body() = std::move(request.body);
   message.prepare_payload();
   return message;
@@ -86,6 +95,13 @@
       sent});
 }
 
+bool Connection::State::HasStirred() {
+  char byte = 0;
+  const ssize_t size =
+      recv(stream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return size >= 0 || (errno != EAGAIN && errno != EWOULDBLOCK);
+}
+
 asio::awaitable<ExchangeResult> Connection::State::Connect() {
   const auto endpoint = ParseEndpoint(address);
   if (!endpoint)
@@ -111,12 +127,18 @@
                       "send to");
   const auto deadline = std::chrono::steady_clock::now() + timeout;
   stream.expires_at(deadline);
+  if (connected && HasStirred())
+    co_return Failure(asio::error::connection_aborted, SentState::kNothingSent,
+                      "send to");
   if (!connected) {
+    stream.expires_at(
+        std::min(deadline, std::chrono::steady_clock::now() + kConnectTimeout));
     ExchangeResult result = co_await Connect();
     if (!result)
       co_return result;
     stream.expires_at(deadline);
   }
+  const bool has_no_body = request.method == "HEAD";
   auto message = ToMessage(std::move(request));
   const auto [write_error, written] =
       co_await beast::http::async_write(stream, message, token);
@@ -124,6 +146,7 @@
     co_return Failure(write_error, SentState::kMaybeSent, "send to");
   beast::http::response_parser<beast::http::string_body> parser;
   parser.body_limit(max_body_bytes);
+  parser.skip(has_no_body);
   const auto [read_error, read] =
       co_await beast::http::async_read(stream, buffer, parser, token);
   if (read_error)
--- a/Libraries/LibHttp/message.h
+++ b/Libraries/LibHttp/message.h
@@ -35,11 +35,14 @@
 inline constexpr int kStatusBadRequest = 400;
 inline constexpr int kStatusUnauthorized = 401;
 inline constexpr int kStatusNotFound = 404;
+inline constexpr int kStatusRequestTimeout = 408;
 inline constexpr int kStatusConflict = 409;
 inline constexpr int kStatusGone = 410;
 inline constexpr int kStatusPayloadTooLarge = 413;
+inline constexpr int kStatusMisdirected = 421;
 inline constexpr int kStatusTooManyRequests = 429;
 inline constexpr int kStatusInternalError = 500;
+inline constexpr int kStatusBadGateway = 502;
 inline constexpr int kStatusUnavailable = 503;
 inline constexpr int kStatusGatewayTimeout = 504;
 
@@ -47,6 +50,7 @@
 
 struct Response {
   int status = kStatusOk;
+  // Empty where `headers` hold the type, if any.
   std::string content_type = "application/json";
   std::string body;
   Headers headers;
--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -7,6 +7,7 @@
 #include <boost/beast.hpp>
 #include <mutex>
 #include <set>
+#include <utility>
 
 #include "LibHttp/address.h"
 
@@ -20,26 +21,58 @@
 
 class Session;
 
+// Of one read from a client.
+constexpr size_t kReadBytes = size_t{4} * 1024;
+
 }  // namespace
 
+void Cancellation::OnCancelled(std::function<void()> action) {
+  {
+    const std::lock_guard lock(mutex_);
+    if (!cancelled_) {
+      action_ = std::move(action);
+      return;
+    }
+  }
+  action();
+}
+
+void Cancellation::Cancel() {
+  std::function<void()> action;
+  {
+    const std::lock_guard lock(mutex_);
+    cancelled_ = true;
+    action = std::exchange(action_, nullptr);
+  }
+  if (action)
+    action();
+}
+
 struct Server::State : std::enable_shared_from_this<Server::State> {
-  State(asio::io_context& context, ServerLimits server_limits, Handler action)
+  State(asio::io_context& context,
+        ServerLimits server_limits,
+        CancellableHandler action)
       : io(context),
         acceptor(asio::make_strand(context)),
-        limits(server_limits),
-        handler(std::move(action)) {}
+        handler(std::move(action)),
+        current_limits(server_limits) {}
+
+  ServerLimits limits() {
+    const std::lock_guard lock(mutex);
+    return current_limits;
+  }
 
   void Add(Session* session);
   void Remove(Session* session);
 
   asio::io_context& io;
   tcp::acceptor acceptor;
-  const ServerLimits limits;
-  const Handler handler;
+  const CancellableHandler handler;
   std::atomic<bool> draining{false};
   std::atomic<size_t> running{0};
   std::atomic<size_t> open{0};
   std::mutex mutex;
+  ServerLimits current_limits;  // Guarded by `mutex`.
   std::set<Session*> sessions;  // Guarded by `mutex`.
 };
 
@@ -82,9 +115,9 @@
 
  private:
   asio::awaitable<void> Run() {
-    if (server_->limits.accept_delay.count() > 0) {
-      asio::steady_timer delay(stream_.get_executor(),
-                               server_->limits.accept_delay);
+    const base::Duration accept_delay = server_->limits().accept_delay;
+    if (accept_delay.count() > 0) {
+      asio::steady_timer delay(stream_.get_executor(), accept_delay);
       co_await delay.async_wait(asio::use_awaitable);
     }
     beast::flat_buffer buffer;
@@ -98,17 +131,18 @@
   asio::awaitable<Persistence> ServeOne(beast::flat_buffer& buffer) {
     const auto token = asio::as_tuple(asio::use_awaitable);
     beast::http::request_parser<beast::http::string_body> parser;
-    parser.header_limit(server_->limits.max_header_bytes);
-    parser.body_limit(server_->limits.max_body_bytes);
+    const ServerLimits limits = server_->limits();
+    parser.header_limit(static_cast<uint32_t>(limits.max_header_bytes));
+    parser.body_limit(limits.max_body_bytes);
     if (buffer.size() == 0) {
-      stream_.expires_after(server_->limits.idle_timeout);
-      const auto [error, size] = co_await stream_.async_read_some(
-          buffer.prepare(server_->limits.max_header_bytes), token);
+      stream_.expires_after(limits.idle_timeout);
+      const auto [error, size] =
+          co_await stream_.async_read_some(buffer.prepare(kReadBytes), token);
       if (error)
         co_return Persistence::kClose;
       buffer.commit(size);
     }
-    stream_.expires_after(server_->limits.request_timeout);
+    stream_.expires_after(limits.request_timeout);
     const auto [error, size] =
         co_await beast::http::async_read(stream_, buffer, parser, token);
     if (error)
@@ -152,9 +186,26 @@
     return request;
   }
 
+  // Cancels the request's work when the client closes its connection. Bytes
+  // of a pipelined request end the watch, since they hide a later close.
+  CancellationPtr WatchClient() {
+    auto cancellation = std::make_shared<Cancellation>();
+    stream_.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this(), cancellation](beast::error_code error) {
+          beast::error_code ignored;
+          if (error == asio::error::operation_aborted)
+            return;
+          if (error || self->stream_.socket().available(ignored) == 0)
+            cancellation->Cancel();
+        });
+    return cancellation;
+  }
+
   asio::awaitable<Response> Handle(Request request) {
     ++server_->running;
     auto executor = stream_.get_executor();
+    const CancellationPtr cancellation = WatchClient();
     Response response =
         co_await asio::async_initiate<const asio::use_awaitable_t<>,
                                       void(Response)>(
@@ -168,22 +219,26 @@
                                [shared, result = std::move(result)]() mutable {
                                  std::move (*shared)(std::move(result));
                                });
-                  });
+                  },
+                  cancellation);
             },
             asio::use_awaitable);
+    beast::error_code ignored;
+    stream_.socket().cancel(ignored);  // Ends WatchClient.
     co_return response;
   }
 
   asio::awaitable<bool> Write(const Response& response) {
     beast::http::response<beast::http::string_body> message(
         static_cast<beast::http::status>(response.status), 11);
-    message.set(beast::http::field::content_type, response.content_type);
+    if (!response.content_type.empty())
+      message.set(beast::http::field::content_type, response.content_type);
     for (const Header& header : response.headers)
-      message.set(header.name, header.value);
+      message.insert(header.name, header.value);
     message.keep_alive(response.persistence == Persistence::kKeepAlive);
     message.body() = response.body;
     message.prepare_payload();
-    stream_.expires_after(server_->limits.request_timeout);
+    stream_.expires_after(server_->limits().request_timeout);
     const auto [error, size] = co_await beast::http::async_write(
         stream_, message, asio::as_tuple(asio::use_awaitable));
     if (busy_)
@@ -209,7 +264,7 @@
       co_await pause.async_wait(asio::use_awaitable);
       continue;
     }
-    if (state->open >= state->limits.max_connections)
+    if (state->open >= state->limits().max_connections)
       continue;  // The socket closes here: the connection is refused.
     std::make_shared<Session>(state, std::move(socket))->Start();
   }
@@ -239,6 +294,19 @@
                                                      const std::string& address,
                                                      ServerLimits limits,
                                                      Handler handler) {
+  return Create(io, address, limits,
+                CancellableHandler([handler = std::move(handler)](
+                                       Request request, Responder respond,
+                                       const CancellationPtr&) {
+                  handler(std::move(request), std::move(respond));
+                }));
+}
+
+base::Result<std::unique_ptr<Server>> Server::Create(
+    asio::io_context& io,
+    const std::string& address,
+    ServerLimits limits,
+    CancellableHandler handler) {
   const tcp::endpoint endpoint = TRY(ParseEndpoint(address));
   auto state = std::make_shared<State>(io, limits, std::move(handler));
   beast::error_code error;
@@ -257,6 +325,11 @@
   return std::unique_ptr<Server>(new Server(std::move(state)));
 }
 
+void Server::SetLimits(const ServerLimits& limits) {
+  const std::lock_guard lock(state_->mutex);
+  state_->current_limits = limits;
+}
+
 void Server::BeginDrain() {
   state_->draining = true;
 }
--- a/Libraries/LibHttp/server.h
+++ b/Libraries/LibHttp/server.h
@@ -6,6 +6,7 @@
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <string>
 
 #include "LibBase/error.h"
@@ -34,6 +35,24 @@
 // Called on any thread; calls the responder once, from any thread.
 using Handler = std::function<void(Request, Responder)>;
 
+// Tells whoever works on a request that its client has gone.
+class Cancellation {
+ public:
+  // Calls `action` once when the client goes; at once if it has gone already.
+  void OnCancelled(std::function<void()> action);
+  void Cancel();
+
+ private:
+  std::mutex mutex_;
+  bool cancelled_ = false;        // Guarded by `mutex_`.
+  std::function<void()> action_;  // Guarded by `mutex_`.
+};
+using CancellationPtr = std::shared_ptr<Cancellation>;
+
+// As Handler. The responder must be called after a cancellation, too.
+using CancellableHandler =
+    std::function<void(Request, Responder, CancellationPtr)>;
+
 class Server {
  public:
   static base::Result<std::unique_ptr<Server>> Create(
@@ -41,8 +60,16 @@
       const std::string& address,
       ServerLimits limits,
       Handler handler);
+  static base::Result<std::unique_ptr<Server>> Create(
+      boost::asio::io_context& io,
+      const std::string& address,
+      ServerLimits limits,
+      CancellableHandler handler);
   ~Server();
 
+  // Holds for requests that begin from now on.
+  void SetLimits(const ServerLimits& limits);
+
   // Answers from now on carry `Connection: close`; connections are still
   // accepted, since callers may hold an answer that names this address.
   void BeginDrain();
--- /dev/null
+++ b/Libraries/LibNode/forward_core.cc
@@ -0,0 +1,341 @@
+// Wiring of one forwarding node over interfaces.
+
+#include "LibNode/forward_core.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+#include <utility>
+
+#include "LibBase/digest.h"
+#include "LibBase/log.h"
+
+namespace node {
+
+using base::Event;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kClaimPrefix = "claim/";
+constexpr std::string_view kManifestFact = "manifest";
+// Of a service's latency; the rest are stragglers.
+constexpr double kHedgeQuantile = 0.95;
+constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(200);
+// Nodes that a server's connections are split among, at least: holders under
+// an old view and under a new one stay within the limit together.
+constexpr size_t kLeastConnectionSharers = 5;
+
+membership::MembershipRules MakeMembershipRules(
+    const ForwardSettings& settings) {
+  membership::MembershipRules rules;
+  rules.period = settings.gossip_period;
+  return rules;
+}
+
+membership::Fact ToFact(const config::Manifest& manifest) {
+  return {std::string(kManifestFact),
+          {manifest.revision, 0},
+          config::SerializeManifest(manifest)};
+}
+
+membership::Fact ToFact(const upstream::ServerClaim& claim) {
+  return {std::string(kClaimPrefix) + claim.instance,
+          {claim.revision, 0},
+          upstream::SerializeClaim(claim)};
+}
+
+platform::ConfigurationController::Parser MakeParser(
+    const ForwardReaders& readers) {
+  return [read = readers.read_configuration](std::string_view content,
+                                             uint64_t revision) {
+    config::ParsedConfiguration parsed;
+    auto result = read(content);
+    if (!result)
+      parsed.issues.push_back({"the stored configuration", "",
+                               result.error().message(),
+                               result.error().remedy()});
+    else
+      parsed.configuration = *std::move(result);
+    parsed.configuration.revision = revision;
+    return parsed;
+  };
+}
+
+base::Error NotServedHere() {
+  return base::Error(base::ErrorKind::kNotFound,
+                     "this node forwards requests along routes only",
+                     "send the call to a node that holds agreements");
+}
+
+}  // namespace
+
+ForwardCore::ForwardCore(ForwardSettings settings,
+                         ForwardReaders readers,
+                         ForwardSurroundings surroundings)
+    : settings_(std::move(settings)),
+      readers_(std::move(readers)),
+      world_(std::move(surroundings)),
+      views_(settings_.self.node_id, {}),
+      links_(world_.scheduler, views_, world_.network),
+      peer_contents_(views_,
+                     world_.network,
+                     settings_.self.node_id,
+                     world_.random),
+      configuration_(
+          platform::ConfigurationController::Create({&peer_contents_},
+                                                    MakeParser(readers_))),
+      membership_(membership::MembershipController::Create(
+          settings_.self,
+          settings_.peer_seeds,
+          MakeMembershipRules(settings_),
+          world_.scheduler,
+          world_.random,
+          facts_,
+          links_)),
+      gate_(world_.scheduler,
+            [this](std::function<void()> done) {
+              membership_->Synchronize(std::move(done));
+            }),
+      configuration_follower_(platform::PrefixFollower::Create(
+          settings_.configuration_prefix,
+          {},
+          world_.scheduler,
+          world_.random,
+          world_.store,
+          [this](const auto& event) { OnStoredConfiguration(event); },
+          [](platform::StoreHealth) {})),
+      registry_follower_(platform::PrefixFollower::Create(
+          settings_.registry_prefix,
+          {},
+          world_.scheduler,
+          world_.random,
+          world_.store,
+          [this](const auto& event) { OnStoredClaim(event); },
+          [](platform::StoreHealth) {})),
+      hedges_(kHedgeQuantile),
+      budget_(settings_.extra_load,
+              world_.scheduler,
+              [this] { return NodeCount(); }),
+      upstreams_(registry_),
+      leaf_({world_.scheduler, world_.random, world_.transport, servers_,
+             hedges_, budget_, [](const std::string&) {},
+             [this](const config::Upstream& upstream) {
+               return ConnectionsPerNode(upstream);
+             },
+             settings_.self.availability_zone},
+            {}),
+      filters_(MakeFilters()) {}
+
+ForwardCore::~ForwardCore() = default;
+
+query::ForwardFilterChain ForwardCore::MakeFilters() {
+  query::ForwardFilterChain::Filters filters;
+  filters.push_back(std::make_unique<query::ConfiguredFilter>(
+      [this] { return configuration_->Current(); }));
+  filters.push_back(std::make_unique<query::RouteFilter>());
+  filters.push_back(
+      std::make_unique<query::ForwardDeadlineFilter>(world_.scheduler));
+  query::ForwardRules rules;
+  rules.extra_load_share = settings_.extra_load_share;
+  filters.push_back(std::make_unique<query::ForwardExecutionFilter>(
+      rules, world_.scheduler, world_.random, leaf_, upstreams_));
+  return query::ForwardFilterChain(std::move(filters));
+}
+
+void ForwardCore::Start() {
+  links_.SetLocal({settings_.self.node_id, nullptr, nullptr, nullptr});
+  facts_.AddListener([this](const membership::Fact& fact) { OnFact(fact); });
+  configuration_->AddListener(
+      [this](const config::Manifest& manifest) { OnConfiguration(manifest); });
+  membership_->SetChangeListener([this] { RefreshView(); });
+  RefreshView();
+  membership_->Start();
+  configuration_follower_->Start();
+  registry_follower_->Start();
+  RunHousekeeping();
+}
+
+void ForwardCore::RefreshView() {
+  views_.Update(membership_->Members(), configuration_->Current());
+}
+
+void ForwardCore::RunHousekeeping() {
+  gate_.Tick();
+  configuration_->RetryIfMissing();
+  world_.scheduler.After(kHousekeepingPeriod, [this] { RunHousekeeping(); });
+}
+
+void ForwardCore::OnStoredConfiguration(const platform::StoreEvent& event) {
+  if (!event.value)
+    return;
+  const auto read = readers_.read_configuration(*event.value);
+  if (!read) {
+    base::Log(Event::kConfigurationRejected,
+              {{"key", event.key}, {"reason", read.error().ToString()}});
+    return;
+  }
+  config::Manifest manifest;
+  manifest.revision = read->revision;
+  manifest.content_digest = base::Sha256Hex(*event.value);
+  configuration_->OnContent(manifest, *event.value);
+}
+
+void ForwardCore::OnStoredClaim(const platform::StoreEvent& event) {
+  const auto claim = readers_.read_claim(event);
+  if (!claim) {
+    base::Log(Event::kClaimRejected,
+              {{"key", event.key}, {"reason", claim.error().ToString()}});
+    return;
+  }
+  facts_.Offer(ToFact(*claim));
+}
+
+void ForwardCore::OnFact(const membership::Fact& fact) {
+  if (fact.key == kManifestFact) {
+    if (const auto manifest = config::ParseManifest(fact.value))
+      configuration_->OnManifest(*manifest);
+  } else if (fact.key.starts_with(kClaimPrefix)) {
+    if (const auto claim = upstream::ParseClaim(fact.value))
+      ApplyClaim(*claim);
+  }
+}
+
+void ForwardCore::ApplyClaim(const upstream::ServerClaim& claim) {
+  const upstream::ClaimEffect effect = registry_.Apply(claim);
+  if (effect != upstream::ClaimEffect::kLeaving)
+    return;
+  const auto server = registry_.Find(claim.instance);
+  base::Log(Event::kServerLeaving,
+            {{"server", claim.instance},
+             {"revision", std::to_string(claim.revision)}});
+  if (server)
+    world_.transport.DropWaiting(server->address);
+}
+
+void ForwardCore::OnConfiguration(const config::Manifest& manifest) {
+  RefreshView();
+  facts_.Offer(ToFact(manifest));
+  world_.on_configuration(configuration_->Current());
+}
+
+size_t ForwardCore::NodeCount() {
+  return static_cast<size_t>(std::ranges::count_if(
+      views_.Current()->members(), &membership::Member::is_usable));
+}
+
+int ForwardCore::ConnectionsPerNode(const config::Upstream& upstream) {
+  const size_t sharers = std::max(NodeCount(), kLeastConnectionSharers);
+  return std::max(1, upstream.connections / static_cast<int>(sharers));
+}
+
+void ForwardCore::Handle(query::ForwardContextPtr context) {
+  ++running_;
+  context->respond =
+      [this, raw = context.get(),
+       respond = std::move(context->respond)](query::ForwardAnswer answer) {
+        metrics_.Observe("celerycroft_forward_seconds",
+                         raw->route ? "route=\"" + raw->route->name + "\"" : "",
+                         world_.scheduler.Now() - raw->arrival);
+        respond(std::move(answer));
+        --running_;
+      };
+  gate_.RunWhenFresh([this, context = std::move(context)]() mutable {
+    filters_.Run(std::move(context));
+  });
+}
+
+bool ForwardCore::is_ready() {
+  return !leaving_ && configuration_->Current()->routes &&
+         registry_.generation() > 0;
+}
+
+void ForwardCore::AnnounceLeaving() {
+  leaving_ = true;
+  membership_->AnnounceLeaving();
+}
+
+std::vector<std::string> ForwardCore::CallerAddresses(const std::string& zone,
+                                                      size_t count) {
+  const auto view = views_.Current();
+  std::vector<std::string> near;
+  std::vector<std::string> far;
+  for (const membership::Member& member : view->members()) {
+    if (member.state == membership::MemberState::kAlive)
+      (member.availability_zone == zone ? near : far)
+          .push_back(member.caller_address);
+  }
+  std::ranges::copy(far, std::back_inserter(near));
+  near.resize(std::min(near.size(), count));
+  return near;
+}
+
+std::string ForwardCore::StateText() {
+  json members = json::array();
+  for (const membership::Member& member : views_.Current()->members())
+    members.push_back({{"nodeId", member.node_id},
+                       {"availabilityZone", member.availability_zone},
+                       {"state", static_cast<int>(member.state)},
+                       {"incarnation", member.incarnation}});
+  json servers = json::array();
+  for (const upstream::ServerClaim& claim : registry_.Dump())
+    servers.push_back({{"instance", claim.instance},
+                       {"revision", claim.revision},
+                       {"takesWork", claim.server.has_value()}});
+  return json{{"nodeId", settings_.self.node_id},
+              {"ready", is_ready()},
+              {"revision", configuration_->Current()->revision},
+              {"members", members},
+              {"servers", servers},
+              {"running", running_.load()}}
+      .dump();
+}
+
+void ForwardCore::ExecuteLeaf(query::LeafRequest request,
+                              std::function<void(query::LeafAnswer)> callback) {
+  query::LeafAnswer answer;
+  answer.request_id = request.request_id;
+  answer.version = request.version;
+  for (const query::ServiceShards& work : request.work) {
+    for (const uint32_t shard : work.shards)
+      answer.missing.push_back({shard, query::MissingReason::kNoServer});
+  }
+  callback(std::move(answer));
+}
+
+membership::GossipMessage ForwardCore::Gossip(
+    const membership::GossipMessage& message) {
+  return membership_->OnGossip(message);
+}
+
+void ForwardCore::Probe(const std::string& address,
+                        base::Duration timeout,
+                        membership::PeerLink::ProbeCallback callback) {
+  using Reachability = membership::PeerLink::Reachability;
+  world_.network.Ping(address, timeout, [callback](auto result) {
+    callback(result ? Reachability::kReachable : Reachability::kUnreachable);
+  });
+}
+
+std::optional<std::string> ForwardCore::ContentOf(const std::string& digest) {
+  return configuration_->ContentOf(digest);
+}
+
+void ForwardCore::RunBooking(query::BookingRun,
+                             query::BookingCallback callback) {
+  callback(query::BookingOutcome::NotRun(NotServedHere()));
+}
+
+void ForwardCore::ForwardBooking(const std::string&,
+                                 query::Booking,
+                                 base::Duration,
+                                 query::BookingCallback callback) {
+  callback(query::BookingOutcome::NotRun(NotServedHere()));
+}
+
+limits::Grant ForwardCore::GrantCredit(const limits::GrantRequest&) {
+  return {};
+}
+
+void ForwardCore::HoldUsage(const std::string&) {}
+
+}  // namespace node
--- /dev/null
+++ b/Libraries/LibNode/forward_core.h
@@ -0,0 +1,155 @@
+// Everything a node decides that forwards requests along routes, free of
+// sockets: wires the controllers and the filter chain over interfaces.
+
+#ifndef LIBNODE_FORWARD_CORE_H_
+#define LIBNODE_FORWARD_CORE_H_
+
+#include <atomic>
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+
+#include "LibBase/metrics.h"
+#include "LibBase/random.h"
+#include "LibBase/scheduler.h"
+#include "LibMembership/membership_controller.h"
+#include "LibNode/freshness_gate.h"
+#include "LibNode/peer_links.h"
+#include "LibPeer/caller.h"
+#include "LibPeer/handler.h"
+#include "LibPlatform/configuration_controller.h"
+#include "LibPlatform/entry_store.h"
+#include "LibPlatform/prefix_follower.h"
+#include "LibQuery/forward_filters.h"
+#include "LibRouting/cluster_view.h"
+#include "LibUpstream/extra_load_budget.h"
+#include "LibUpstream/hedge_policy.h"
+#include "LibUpstream/server_registry.h"
+#include "LibUpstream/server_table.h"
+#include "LibUpstream/transport.h"
+
+namespace node {
+
+struct ForwardSettings {
+  membership::Member self;
+  std::vector<std::string> peer_seeds;
+  base::Duration gossip_period{};
+  // Extra sub-requests that all nodes together may cause.
+  double extra_load_share = 0;
+  upstream::WindowBudgetRules extra_load;
+  // Prefixes of the store: of the configuration's key, and of servers' claims.
+  std::string configuration_prefix;
+  std::string registry_prefix;
+
+  bool operator==(const ForwardSettings&) const = default;
+};
+
+// Reads what the store holds. Both are pure.
+struct ForwardReaders {
+  // The configuration's version and routes.
+  std::function<base::Result<config::Configuration>(std::string_view text)>
+      read_configuration;
+  // A claim of the registry; an error names why it can't be used.
+  std::function<base::Result<upstream::ServerClaim>(
+      const platform::StoreEvent&)>
+      read_claim;
+};
+
+// The world outside. All outlive the node.
+struct ForwardSurroundings {
+  base::Scheduler& scheduler;
+  base::Random& random;
+  upstream::Transport& transport;
+  platform::EntryStore& store;
+  peer::Caller& network;
+  // Told of each configuration that takes effect.
+  std::function<void(const config::ConfigurationPtr&)> on_configuration;
+};
+
+class ForwardCore final : public peer::Handler {
+ public:
+  ForwardCore(ForwardSettings settings,
+              ForwardReaders readers,
+              ForwardSurroundings surroundings);
+  ~ForwardCore() override;
+
+  void Start();
+
+  // Sends a request through the filters.
+  void Handle(query::ForwardContextPtr context);
+
+  // Whether callers may be sent here.
+  bool is_ready();
+  // Tells peers that this node leaves; it goes on answering.
+  void AnnounceLeaving();
+  size_t running() const { return running_; }
+
+  // Addresses of nodes that take callers, those of `zone` first.
+  std::vector<std::string> CallerAddresses(const std::string& zone,
+                                           size_t count);
+
+  // JSON for operators.
+  std::string StateText();
+  std::string MetricsText() { return metrics_.ToPrometheusText(); }
+
+  // peer::Handler:
+  void ExecuteLeaf(query::LeafRequest request,
+                   std::function<void(query::LeafAnswer)> callback) override;
+  membership::GossipMessage Gossip(
+      const membership::GossipMessage& message) override;
+  void Probe(const std::string& address,
+             base::Duration timeout,
+             membership::PeerLink::ProbeCallback callback) override;
+  std::optional<std::string> ContentOf(const std::string& digest) override;
+  void RunBooking(query::BookingRun run,
+                  query::BookingCallback callback) override;
+  void ForwardBooking(const std::string& ticket,
+                      query::Booking booking,
+                      base::Duration time_left,
+                      query::BookingCallback callback) override;
+  limits::Grant GrantCredit(const limits::GrantRequest& request) override;
+  void HoldUsage(const std::string& records) override;
+
+ private:
+  query::ForwardFilterChain MakeFilters();
+  void OnStoredConfiguration(const platform::StoreEvent& event);
+  void OnStoredClaim(const platform::StoreEvent& event);
+  void OnFact(const membership::Fact& fact);
+  void ApplyClaim(const upstream::ServerClaim& claim);
+  void OnConfiguration(const config::Manifest& manifest);
+  void RefreshView();
+  void RunHousekeeping();
+  int ConnectionsPerNode(const config::Upstream& upstream);
+  size_t NodeCount();
+
+  const ForwardSettings settings_;
+  const ForwardReaders readers_;
+  const ForwardSurroundings world_;
+  base::Metrics metrics_;
+
+  routing::ClusterViewController views_;
+  PeerLinks links_;
+  PeerContentSource peer_contents_;
+  std::shared_ptr<platform::ConfigurationController> configuration_;
+  membership::FactTable facts_;
+  std::shared_ptr<membership::MembershipController> membership_;
+  FreshnessGate gate_;
+  std::shared_ptr<platform::PrefixFollower> configuration_follower_;
+  std::shared_ptr<platform::PrefixFollower> registry_follower_;
+
+  upstream::ServerRegistry registry_;
+  upstream::ServerTable servers_;
+  upstream::QuantileHedgePolicy hedges_;
+  upstream::WindowExtraLoadBudget budget_;
+  query::RouteUpstreams upstreams_;
+  query::LeafExecutor leaf_;
+  query::ForwardFilterChain filters_;
+
+  std::atomic<size_t> running_{0};
+  std::atomic<bool> leaving_{false};
+};
+
+}  // namespace node
+
+#endif  // LIBNODE_FORWARD_CORE_H_
--- a/Libraries/LibNode/node_core.cc
+++ b/Libraries/LibNode/node_core.cc
@@ -45,10 +45,8 @@
   return self;
 }
 
-query::LeafRules MakeLeafRules(const config::Settings& settings,
-                               const Policies& policies) {
+query::LeafRules MakeLeafRules(const Policies& policies) {
   query::LeafRules rules;
-  rules.holders = {settings.holders_per_service, settings.planned_nodes};
   rules.replica_choice = policies.replica_choice;
   return rules;
 }
@@ -87,9 +85,10 @@
                    Surroundings surroundings)
     : settings_(std::move(settings)),
       identity_(std::move(identity)),
-      leaf_rules_(MakeLeafRules(settings_, policies)),
+      leaf_rules_(MakeLeafRules(policies)),
+      holder_rules_{settings_.holders_per_service, settings_.planned_nodes},
       world_(std::move(surroundings)),
-      views_(settings_.node_id, leaf_rules_.holders),
+      views_(settings_.node_id, holder_rules_),
       links_(world_.scheduler, views_, world_.network),
       peer_contents_(views_, world_.network, settings_.node_id, world_.random),
       store_contents_(world_.store),
@@ -151,7 +150,11 @@
           })),
       leaf_({world_.scheduler, world_.random, world_.transport, servers_,
              *hedges_, budget_,
-             [this](const std::string& address) { OnLeaving(address); }},
+             [this](const std::string& address) { OnLeaving(address); },
+             [this](const config::Upstream& upstream) {
+               return routing::ConnectionsPerNode(upstream.connections,
+                                                  holder_rules_);
+             }},
             leaf_rules_),
       coordinator_({settings_.node_id, world_.scheduler, world_.random, links_,
                     snapshots_, [this] { return Holders(); }},
@@ -280,9 +283,9 @@
 int NodeCore::ConnectionsFor(const std::string& name) {
   const auto configuration = configuration_->Current();
   const config::Upstream* upstream = configuration->FindUpstream(name);
-  return upstream ? routing::ConnectionsPerNode(upstream->connections,
-                                                leaf_rules_.holders)
-                  : 0;
+  return upstream
+             ? routing::ConnectionsPerNode(upstream->connections, holder_rules_)
+             : 0;
 }
 
 std::vector<upstream::ServerTarget> NodeCore::HeldServers() {
@@ -355,7 +358,10 @@
   gate_.RunWhenFresh([this, request = std::move(request), deadline,
                       callback = std::move(callback)]() mutable {
     request.time_left = deadline - world_.scheduler.Now();
-    leaf_.Execute(configuration_->Current(), std::move(request),
+    const auto configuration = configuration_->Current();
+    const query::UpstreamPtr upstream(
+        configuration, configuration->FindUpstream(request.upstream));
+    leaf_.Execute(upstream, std::move(request),
                   [this, callback = std::move(callback)](auto answer) {
                     callback(std::move(answer));
                     --running_;
--- a/Libraries/LibNode/node_core.h
+++ b/Libraries/LibNode/node_core.h
@@ -35,6 +35,7 @@
 #include "LibQuery/leaf_executor.h"
 #include "LibQuery/root_coordinator.h"
 #include "LibRouting/cluster_view.h"
+#include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/hedge_policy.h"
 #include "LibUpstream/report_poller.h"
 #include "LibUpstream/server_table.h"
@@ -151,6 +152,7 @@
   const config::Settings settings_;
   const Identity identity_;
   const query::LeafRules leaf_rules_;
+  const routing::HolderRules holder_rules_;
   const Surroundings world_;
   base::Metrics metrics_;
 
@@ -168,7 +170,7 @@
   upstream::SnapshotCatalogue snapshots_;
   std::shared_ptr<upstream::ReportPoller> poller_;
   std::unique_ptr<upstream::HedgePolicy> hedges_;
-  upstream::ExtraLoadBudget budget_;
+  upstream::TokenExtraLoadBudget budget_;
 
   limits::GrantOwner grants_;
   limits::LimitController limits_;
--- a/Libraries/LibPlatform/configuration_controller.cc
+++ b/Libraries/LibPlatform/configuration_controller.cc
@@ -10,14 +10,17 @@
 namespace platform {
 
 std::shared_ptr<ConfigurationController> ConfigurationController::Create(
-    std::vector<ContentSource*> sources) {
+    std::vector<ContentSource*> sources,
+    Parser parse) {
   return std::shared_ptr<ConfigurationController>(
-      new ConfigurationController(std::move(sources)));
+      new ConfigurationController(std::move(sources), std::move(parse)));
 }
 
 ConfigurationController::ConfigurationController(
-    std::vector<ContentSource*> sources)
+    std::vector<ContentSource*> sources,
+    Parser parse)
     : sources_(std::move(sources)),
+      parse_(std::move(parse)),
       current_(std::make_shared<config::Configuration>()) {}
 
 void ConfigurationController::AddListener(Listener listener) {
@@ -72,23 +75,34 @@
   sources_[source]->Fetch(
       manifest.content_digest,
       [self = shared_from_this(), source, manifest](auto content) {
-        self->OnContent(source, manifest, std::move(content));
+        self->OnFetched(source, manifest, std::move(content));
       });
 }
 
-void ConfigurationController::OnContent(size_t source,
+void ConfigurationController::OnFetched(size_t source,
                                         const config::Manifest& manifest,
                                         base::Result<std::string> content) {
   if (!content || base::Sha256Hex(*content) != manifest.content_digest) {
     FetchFrom(source + 1, manifest);
     return;
   }
-  auto parsed = config::ParseContent(*content, manifest.revision);
+  ParseAndInstall(manifest, *std::move(content));
+}
+
+void ConfigurationController::OnContent(const config::Manifest& manifest,
+                                        std::string content) {
+  if (manifest.revision > Current()->revision)
+    ParseAndInstall(manifest, std::move(content));
+}
+
+void ConfigurationController::ParseAndInstall(const config::Manifest& manifest,
+                                              std::string content) {
+  auto parsed = parse_(content, manifest.revision);
   if (!parsed.issues.empty()) {
     GiveUp(manifest, config::ToString(parsed.issues.front()));
     return;
   }
-  Install(manifest, *std::move(content), std::move(parsed.configuration));
+  Install(manifest, std::move(content), std::move(parsed.configuration));
 }
 
 void ConfigurationController::Install(const config::Manifest& manifest,
--- a/Libraries/LibPlatform/configuration_controller.h
+++ b/Libraries/LibPlatform/configuration_controller.h
@@ -8,6 +8,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibBase/error.h"
@@ -29,14 +30,23 @@
  public:
   using Listener = std::function<void(const config::Manifest&)>;
 
-  // Sources are tried in order and outlive the controller.
+  using Parser =
+      std::function<config::ParsedConfiguration(std::string_view content,
+                                                uint64_t revision)>;
+
+  // Sources are tried in order and outlive the controller. `parse` reads their
+  // content.
   static std::shared_ptr<ConfigurationController> Create(
-      std::vector<ContentSource*> sources);
+      std::vector<ContentSource*> sources,
+      Parser parse = config::ParseContent);
 
   // Learns of a manifest from any side. A higher revision than any known is
   // fetched and put in force; others are ignored.
   void OnManifest(const config::Manifest& manifest);
 
+  // As OnManifest, where the content is at hand.
+  void OnContent(const config::Manifest& manifest, std::string content);
+
   // Fetches again what no source had when it was wanted. Call now and then.
   void RetryIfMissing();
 
@@ -52,18 +62,20 @@
   void AddListener(Listener listener);
 
  private:
-  explicit ConfigurationController(std::vector<ContentSource*> sources);
+  ConfigurationController(std::vector<ContentSource*> sources, Parser parse);
 
   void FetchFrom(size_t source, const config::Manifest& manifest);
-  void OnContent(size_t source,
+  void OnFetched(size_t source,
                  const config::Manifest& manifest,
                  base::Result<std::string> content);
+  void ParseAndInstall(const config::Manifest& manifest, std::string content);
   void Install(const config::Manifest& manifest,
                std::string content,
                config::Configuration configuration);
   void GiveUp(const config::Manifest& manifest, const std::string& reason);
 
   const std::vector<ContentSource*> sources_;
+  const Parser parse_;
   std::vector<Listener> listeners_;
   // Held over installing and telling the listeners, to keep the order.
   std::mutex install_mutex_;
--- a/Libraries/LibQuery/filter.h
+++ b/Libraries/LibQuery/filter.h
@@ -3,38 +3,56 @@
 #ifndef LIBQUERY_FILTER_H_
 #define LIBQUERY_FILTER_H_
 
+#include <cassert>
 #include <functional>
 #include <memory>
+#include <utility>
 #include <vector>
 
 #include "LibQuery/request_context.h"
 
 namespace query {
 
-class Filter {
+// `Context` is the request's state, shared by all filters.
+template <typename Context>
+class BasicFilter {
  public:
-  using Next = std::function<void(ContextPtr)>;
+  using Next = std::function<void(std::shared_ptr<Context>)>;
 
-  virtual ~Filter() = default;
+  virtual ~BasicFilter() = default;
 
   // Calls `next` at most once, perhaps later; otherwise responds. A filter
   // that wants to see the answer wraps `respond`.
-  virtual void Handle(ContextPtr context, Next next) = 0;
+  virtual void Handle(std::shared_ptr<Context> context, Next next) = 0;
 };
 
-class FilterChain {
+template <typename Context>
+class BasicFilterChain {
  public:
-  explicit FilterChain(std::vector<std::unique_ptr<Filter>> filters);
+  using Filters = std::vector<std::unique_ptr<BasicFilter<Context>>>;
+
+  explicit BasicFilterChain(Filters filters) : filters_(std::move(filters)) {}
 
   // The last filter responds to every request that reaches it.
-  void Run(ContextPtr context) const;
+  void Run(std::shared_ptr<Context> context) const {
+    RunFrom(0, std::move(context));
+  }
 
  private:
-  void RunFrom(size_t index, ContextPtr context) const;
-
-  const std::vector<std::unique_ptr<Filter>> filters_;
+  void RunFrom(size_t index, std::shared_ptr<Context> context) const {
+    assert(index < filters_.size());
+    filters_[index]->Handle(std::move(context),
+                            [this, index](std::shared_ptr<Context> passed) {
+                              RunFrom(index + 1, std::move(passed));
+                            });
+  }
+
+  const Filters filters_;
 };
 
+using Filter = BasicFilter<RequestContext>;
+using FilterChain = BasicFilterChain<RequestContext>;
+
 }  // namespace query
 
 #endif  // LIBQUERY_FILTER_H_
--- /dev/null
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -0,0 +1,172 @@
+// Forwarded requests from configuration to answer.
+
+#include "LibQuery/forward_filters.h"
+
+#include <algorithm>
+#include <numeric>
+#include <utility>
+
+#include "LibQuery/record_merge.h"
+
+namespace query {
+
+using base::ErrorKind;
+
+namespace {
+
+// After which a caller that was refused may find room again: a few service
+// times of a server with a full queue.
+constexpr base::Duration kRetryAfter = std::chrono::milliseconds(50);
+
+base::Error MissingError(const LeafAnswer& answer) {
+  const MissingReason reason = answer.missing.empty()
+                                   ? MissingReason::kTimeout
+                                   : answer.missing.front().reason;
+  return base::Error(
+      ErrorKind::kUnavailable,
+      std::to_string(answer.missing.size()) +
+          " services gave no answer: " + std::string(MissingReasonName(reason)),
+      "ask again; look at the servers of the route's services");
+}
+
+ForwardAnswer Merge(const config::GatherTerms& terms,
+                    const LeafAnswer& answer) {
+  ForwardAnswer merged;
+  merged.outcome = ForwardOutcome::kMerged;
+  merged.merged.missing = terms.services.size() - answer.parts.size();
+  std::vector<std::string_view> bodies;
+  for (const ForwardedPart& part : answer.parts) {
+    merged.merged.signatures.push_back(part.reply->signature);
+    bodies.push_back(part.reply->message.body);
+  }
+  merged.merged.records = MergeGreatestRecords(bodies, terms.top_records);
+  return merged;
+}
+
+}  // namespace
+
+void ConfiguredFilter::Handle(ForwardContextPtr context, Next next) {
+  context->configuration = current_();
+  if (!context->configuration || !context->configuration->routes) {
+    context->Refuse(ForwardOutcome::kNotRun, ErrorKind::kUnavailable,
+                    "this node knows no configuration yet",
+                    "ask again in a moment, or another node");
+    return;
+  }
+  next(std::move(context));
+}
+
+void RouteFilter::Handle(ForwardContextPtr context, Next next) {
+  const upstream::ForwardedRequest& request = *context->request;
+  context->route = context->configuration->routes->Find(
+      request.host, http::Path(request.message.target));
+  if (!context->route) {
+    context->Refuse(ForwardOutcome::kNoRoute, ErrorKind::kNotFound,
+                    "no route for " + request.host + request.message.target,
+                    "check the host and path, or publish a route for them");
+    return;
+  }
+  next(std::move(context));
+}
+
+void ForwardDeadlineFilter::Handle(ForwardContextPtr context, Next next) {
+  const base::Duration timeout = context->route->timeout;
+  context->deadline =
+      context->arrival +
+      std::min(context->time_allowed.value_or(timeout), timeout);
+  if (context->deadline <= scheduler_.Now()) {
+    context->Refuse(ForwardOutcome::kNotRun, ErrorKind::kTimeout,
+                    "the deadline has passed", "allow more time");
+    return;
+  }
+  next(std::move(context));
+}
+
+ForwardExecutionFilter::ForwardExecutionFilter(ForwardRules rules,
+                                               base::Scheduler& scheduler,
+                                               base::Random& random,
+                                               LeafExecutor& leaf,
+                                               RouteUpstreams& upstreams)
+    : rules_(rules),
+      scheduler_(scheduler),
+      random_(random),
+      leaf_(leaf),
+      upstreams_(upstreams) {}
+
+// All services of a gather, or one by the weights of a split.
+std::vector<std::string> ForwardExecutionFilter::ServicesOf(
+    const config::Route& route) {
+  if (route.gather)
+    return route.gather->services;
+  const uint64_t total = std::accumulate(
+      route.services.begin(), route.services.end(), uint64_t{0},
+      [](uint64_t sum, const auto& target) { return sum + target.weight; });
+  uint64_t draw = random_.Below(std::max<uint64_t>(total, 1));
+  for (const config::WeightedService& target : route.services) {
+    if (draw < target.weight)
+      return {target.service};
+    draw -= target.weight;
+  }
+  return {route.services.front().service};
+}
+
+LeafRequest ForwardExecutionFilter::MakeRequest(const ForwardContext& context,
+                                                size_t service_count) const {
+  const config::Route& route = *context.route;
+  const base::Instant now = scheduler_.Now();
+  LeafRequest request;
+  request.request_id = context.request->id;
+  request.version = context.configuration->revision;
+  request.shard_count = static_cast<uint32_t>(service_count);
+  for (uint32_t service = 0; service < service_count; ++service)
+    request.work.push_back({service, {service}});
+  request.time_left =
+      std::max<base::Duration>(context.deadline - rules_.deadline_reserve - now,
+                               (context.deadline - now) / 2);
+  request.extra_load_share = rules_.extra_load_share;
+  request.forward =
+      ForwardTerms{context.request, route.repeatability, route.max_attempts};
+  if (route.gather) {
+    request.forward->objective = std::max(
+        context.arrival + route.objective - rules_.answer_reserve - now,
+        base::Duration(1));
+    request.forward->least_share = route.gather->least_share;
+  }
+  return request;
+}
+
+void ForwardExecutionFilter::Handle(ForwardContextPtr context, Next) {
+  const std::vector<std::string> services = ServicesOf(*context->route);
+  const LeafRunPtr run = leaf_.Execute(
+      upstreams_.For(context->configuration, services),
+      MakeRequest(*context, services.size()), [context](LeafAnswer answer) {
+        context->load = answer.load;
+        context->respond(ToForwardAnswer(*context->route, std::move(answer)));
+      });
+  if (context->cancellation)
+    context->cancellation->OnCancelled([run] { run->Cancel(); });
+}
+
+ForwardAnswer ToForwardAnswer(const config::Route& route, LeafAnswer answer) {
+  if (route.gather) {
+    const double least = route.gather->least_share *
+                         static_cast<double>(route.gather->services.size());
+    if (!answer.parts.empty() &&
+        static_cast<double>(answer.parts.size()) >= least)
+      return Merge(*route.gather, answer);
+  } else if (!answer.parts.empty() || answer.failure) {
+    ForwardAnswer relayed;
+    relayed.outcome = ForwardOutcome::kRelayed;
+    relayed.reply =
+        answer.parts.empty() ? answer.failure : answer.parts.front().reply;
+    return relayed;
+  }
+  const bool is_unknown = answer.run_state == RunState::kMayHaveRun;
+  ForwardAnswer failed = ForwardAnswer::Failed(
+      is_unknown ? ForwardOutcome::kUnknown : ForwardOutcome::kNotRun,
+      MissingError(answer));
+  failed.retry_after = kRetryAfter;
+  return failed;
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -0,0 +1,401 @@
+// Attempts, hedges, retries and the end of one leaf request.
+
+#include "LibQuery/leaf_execution.h"
+
+#include <algorithm>
+#include <cassert>
+#include <utility>
+
+#include "LibBase/log.h"
+
+namespace query {
+
+using upstream::CallEnd;
+using upstream::ServerView;
+using upstream::ShardCall;
+using upstream::ShardFailure;
+using upstream::ShardOutcome;
+
+LeafExecution::LeafExecution(
+    std::shared_ptr<const LeafDependencies> dependencies,
+    const LeafRules& rules,
+    UpstreamPtr upstream,
+    LeafRequest request,
+    LeafCallback callback)
+    : dependencies_(std::move(dependencies)),
+      rules_(rules),
+      upstream_(std::move(upstream)),
+      request_(std::move(request)),
+      callback_(std::move(callback)),
+      deadline_(dependencies_->scheduler.Now() + request_.time_left) {}
+
+void LeafExecution::Start() {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    PrepareRuns();
+    for (ServiceRun& run : runs_)
+      StartPrimary(run);
+    ArmTimers();
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+void LeafExecution::Cancel() {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    AbandonAll();
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+void LeafExecution::PrepareRuns() {
+  answer_.request_id = request_.request_id;
+  answer_.version = request_.version;
+  const std::string account = request_.party + "/" + request_.upstream;
+  for (const ServiceShards& work : request_.work) {
+    ServiceRun run;
+    run.work = &work;
+    if (upstream_ && work.service < upstream_->services.size())
+      run.service = &upstream_->services[work.service];
+    run.account = request_.forward && run.service ? run.service->name : account;
+    runs_.push_back(std::move(run));
+  }
+  open_runs_ = runs_.size();
+}
+
+void LeafExecution::ArmTimers() {
+  if (open_runs_ == 0)
+    return;
+  deadline_timer_ = After(deadline_ - Now(), &LeafExecution::OnDeadline);
+  if (request_.forward && request_.forward->objective.count() > 0)
+    objective_timer_ =
+        After(request_.forward->objective, &LeafExecution::OnObjective);
+  if (request_.forward &&
+      request_.forward->repeatability == config::Repeatability::kOnce)
+    return;
+  for (ServiceRun& run : runs_) {
+    if (run.done)
+      continue;
+    if (const auto delay = dependencies_->hedges.Delay(HedgeKey(run)))
+      run.hedge_due = Now() + *delay;
+  }
+  ArmHedgeTimer();
+}
+
+void LeafExecution::ArmHedgeTimer() {
+  std::optional<base::Instant> next;
+  for (const ServiceRun& run : runs_) {
+    if (!run.done && run.hedge_due && (!next || *run.hedge_due < *next))
+      next = run.hedge_due;
+  }
+  if (next)
+    hedge_timer_ = After(*next - Now(), &LeafExecution::OnHedgeDue);
+}
+
+void LeafExecution::StartPrimary(ServiceRun& run) {
+  dependencies_->budget.OnPrimary(run.account, request_.extra_load_share);
+  if (!StartAttempt(run, AttemptKind::kPrimary))
+    Abandon(run, MissingReason::kNoServer);
+}
+
+// Servers that are unreachable or in trouble serve only where no other is left.
+LeafExecution::Candidates LeafExecution::CandidatesOf(const ServiceRun& run) {
+  Candidates usable;
+  Candidates doubtful;
+  if (!run.service)
+    return usable;
+  for (const config::Server& server : run.service->servers) {
+    ServerView view = dependencies_->servers.View(server.identity(), Now());
+    if (run.HasTried(server.identity()) || view.is_leaving)
+      continue;
+    view.is_remote =
+        !dependencies_->availability_zone.empty() &&
+        server.availability_zone != dependencies_->availability_zone;
+    Candidates& list = view.is_unreachable ? doubtful : usable;
+    list.servers.push_back(&server);
+    list.views.push_back(std::move(view));
+  }
+  return usable.servers.empty() ? doubtful : usable;
+}
+
+size_t LeafExecution::ChooseReplica(const std::vector<ServerView>& candidates) {
+  if (rules_.replica_choice == ReplicaChoice::kRandom)
+    return upstream::RandomReplicaPolicy().Choose(candidates,
+                                                  dependencies_->random);
+  return upstream::LeastExpectedWaitPolicy(upstream_->slots)
+      .Choose(candidates, dependencies_->random);
+}
+
+bool LeafExecution::MayStart(const ServiceRun& run) const {
+  const int limit =
+      request_.forward ? request_.forward->max_attempts : rules_.max_attempts;
+  return run.sent() < limit && Now() < deadline_;
+}
+
+bool LeafExecution::StartAttempt(ServiceRun& run, AttemptKind kind) {
+  if (!MayStart(run))
+    return false;
+  const Candidates candidates = CandidatesOf(run);
+  if (candidates.servers.empty())
+    return false;
+  const config::Server& chosen =
+      *candidates.servers[ChooseReplica(candidates.views)];
+  Count(kind);
+  Attempt attempt{next_attempt_++, chosen.identity(), upstream::CallId::kNone,
+                  Now()};
+  const ShardCall call{request_.request_id,
+                       attempt.number,
+                       request_.party,
+                       request_.version,
+                       request_.shard_count,
+                       run.work->shards,
+                       request_.query,
+                       request_.forward ? request_.forward->request : nullptr};
+  const upstream::ServerTarget target{
+      chosen.address, dependencies_->connections_per_node(*upstream_),
+      chosen.instance};
+  dependencies_->servers.OnCallStarted(attempt.server);
+  const size_t run_index = static_cast<size_t>(&run - runs_.data());
+  attempt.call = dependencies_->transport.Start(
+      target, call, deadline_ - Now(),
+      [self = shared_from_this(), run_index, call](ShardOutcome outcome) {
+        self->OnOutcome(run_index, call, std::move(outcome));
+      });
+  run.attempts.push_back(std::move(attempt));
+  return true;
+}
+
+void LeafExecution::Count(AttemptKind kind) {
+  switch (kind) {
+    case AttemptKind::kPrimary:
+      ++answer_.load.primary;
+      break;
+    case AttemptKind::kHedge:
+      ++answer_.load.hedges;
+      break;
+    case AttemptKind::kRetry:
+      ++answer_.load.retries;
+      break;
+  }
+}
+
+void LeafExecution::OnOutcome(size_t run_index,
+                              const ShardCall& call,
+                              ShardOutcome outcome) {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    ServiceRun& run = runs_[run_index];
+    const auto attempt =
+        std::ranges::find(run.attempts, call.attempt, &Attempt::number);
+    // An attempt that was closed here has been accounted for already.
+    if (attempt == run.attempts.end() || !attempt->open)
+      return;
+    attempt->open = false;
+    outcome = Check(run, call, std::move(outcome));
+    NoteEnd(run, *attempt, outcome);
+    const std::string server = attempt->server;
+    if (outcome)
+      Accept(run, std::move(*outcome));
+    else
+      OnFailure(run, server, outcome.error());
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+// Turns what is no answer to `call`, or a server's own error, into a failure.
+ShardOutcome LeafExecution::Check(ServiceRun& run,
+                                  const ShardCall& call,
+                                  ShardOutcome outcome) {
+  if (!outcome) {
+    if (outcome.error() == ShardFailure::kNoConnection)
+      ++run.unsent;
+    else if (!ProvesNotRun(outcome.error()))
+      run.run_state = RunState::kMayHaveRun;
+    return outcome;
+  }
+  run.run_state = RunState::kMayHaveRun;
+  if (!upstream::IsAnswerTo(*outcome, call))
+    return tl::make_unexpected(ShardFailure::kBroken);
+  if (outcome->forwarded &&
+      outcome->forwarded->verdict == upstream::ServerVerdict::kFailed) {
+    answer_.failure = outcome->forwarded;
+    return tl::make_unexpected(ShardFailure::kFailed);
+  }
+  return outcome;
+}
+
+void LeafExecution::NoteEnd(const ServiceRun& run,
+                            const Attempt& attempt,
+                            const ShardOutcome& outcome) {
+  const base::Duration elapsed = Now() - attempt.started;
+  dependencies_->servers.OnCallEnded(
+      attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
+      Now());
+  if (outcome)
+    dependencies_->hedges.OnAnswer(HedgeKey(run), elapsed);
+  else if (outcome.error() == ShardFailure::kBroken)
+    base::Log(base::Event::kServerProtocolError,
+              {{"server", attempt.server}, {"request", request_.request_id}});
+}
+
+void LeafExecution::Accept(ServiceRun& run, upstream::ShardReply reply) {
+  CloseAttempts(run);
+  std::ranges::move(reply.results, std::back_inserter(answer_.results));
+  if (reply.forwarded)
+    answer_.parts.push_back({run.work->service, std::move(reply.forwarded)});
+  Finish(run);
+}
+
+void LeafExecution::OnFailure(ServiceRun& run,
+                              const std::string& server,
+                              ShardFailure failure) {
+  run.last_failure = ToMissingReason(failure);
+  if (failure == ShardFailure::kLeaving)
+    dependencies_->on_leaving(server);
+  if (failure == ShardFailure::kNoConnection ||
+      failure == ShardFailure::kMisdirected)
+    dependencies_->servers.OnUnreachable(server, Now());
+  if (run.HasOpenAttempt())
+    return;
+  const AttemptKind kind =
+      IsFree(failure) ? AttemptKind::kPrimary : AttemptKind::kRetry;
+  const bool may_repeat =
+      MayRepeat(run) &&
+      (IsFree(failure) || dependencies_->budget.TrySpend(run.account));
+  // A call that did no work was counted and is now replaced.
+  if (kind == AttemptKind::kPrimary)
+    --answer_.load.primary;
+  if (!may_repeat || !StartAttempt(run, kind))
+    Abandon(run, run.last_failure);
+}
+
+// A forwarded request counts as extra load wherever it arrives once more, even
+// if the server before refused it.
+bool LeafExecution::IsFree(ShardFailure failure) const {
+  return request_.forward ? failure == ShardFailure::kNoConnection
+                          : DidNoWork(failure);
+}
+
+bool LeafExecution::MayRepeat(const ServiceRun& run) const {
+  const bool is_idempotent =
+      !request_.forward ||
+      request_.forward->repeatability == config::Repeatability::kIdempotent;
+  return (is_idempotent || run.run_state == RunState::kNotRun) && MayStart(run);
+}
+
+const std::string& LeafExecution::HedgeKey(const ServiceRun& run) const {
+  return request_.forward && run.service ? run.service->name
+                                         : request_.upstream;
+}
+
+// Hedges the services still open, unless so many are that the upstream as a
+// whole must be slow.
+void LeafExecution::OnHedgeDue() {
+  const std::lock_guard lock(mutex_);
+  if (open_runs_ == 0)
+    return;
+  const auto limit = static_cast<size_t>(rules_.slow_upstream_share *
+                                         static_cast<double>(runs_.size()));
+  const bool is_upstream_slow = open_runs_ > std::max<size_t>(limit, 1);
+  for (ServiceRun& run : runs_) {
+    if (run.done || !run.hedge_due || *run.hedge_due > Now())
+      continue;
+    run.hedge_due.reset();
+    if (!is_upstream_slow)
+      Hedge(run);
+    else if (const auto delay = dependencies_->hedges.Delay(HedgeKey(run)))
+      run.hedge_due = Now() + *delay;
+  }
+  ArmHedgeTimer();
+}
+
+bool LeafExecution::Hedge(ServiceRun& run) {
+  return MayStart(run) && !CandidatesOf(run).servers.empty() &&
+         dependencies_->budget.TrySpend(run.account) &&
+         StartAttempt(run, AttemptKind::kHedge);
+}
+
+void LeafExecution::OnObjective() {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    is_objective_over_ = true;
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+void LeafExecution::OnDeadline() {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    AbandonAll();
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+void LeafExecution::AbandonAll() {
+  for (ServiceRun& run : runs_) {
+    if (!run.done)
+      Abandon(run, MissingReason::kTimeout);
+  }
+}
+
+void LeafExecution::Abandon(ServiceRun& run, MissingReason reason) {
+  if (run.HasOpenAttempt())
+    run.run_state = RunState::kMayHaveRun;
+  CloseAttempts(run);
+  for (const uint32_t shard : run.work->shards)
+    answer_.missing.push_back({shard, reason});
+  Finish(run);
+}
+
+void LeafExecution::CloseAttempts(ServiceRun& run) {
+  for (Attempt& attempt : run.attempts) {
+    if (!attempt.open)
+      continue;
+    attempt.open = false;
+    dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
+                                       Now() - attempt.started, Now());
+    dependencies_->transport.Cancel(attempt.call);
+  }
+}
+
+void LeafExecution::Finish(ServiceRun& run) {
+  assert(!run.done);
+  run.done = true;
+  --open_runs_;
+  if (run.run_state == RunState::kMayHaveRun)
+    answer_.run_state = RunState::kMayHaveRun;
+}
+
+bool LeafExecution::IsCoverageReached() const {
+  return static_cast<double>(answer_.parts.size()) >=
+         request_.forward->least_share * static_cast<double>(runs_.size());
+}
+
+LeafExecution::Completion LeafExecution::CompleteIfDone() {
+  if (is_objective_over_ && callback_ && open_runs_ > 0 && IsCoverageReached())
+    AbandonAll();
+  if (open_runs_ > 0 || !callback_)
+    return {};
+  dependencies_->scheduler.Cancel(deadline_timer_);
+  dependencies_->scheduler.Cancel(objective_timer_);
+  dependencies_->scheduler.Cancel(hedge_timer_);
+  return {std::exchange(callback_, nullptr), std::move(answer_)};
+}
+
+base::TimerId LeafExecution::After(base::Duration delay,
+                                   void (LeafExecution::*action)()) {
+  return dependencies_->scheduler.After(
+      delay, [self = shared_from_this(), action] { (*self.*action)(); });
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -0,0 +1,105 @@
+// The state of one leaf request, an event-driven machine under its own lock.
+
+#ifndef LIBQUERY_LEAF_EXECUTION_H_
+#define LIBQUERY_LEAF_EXECUTION_H_
+
+#include <memory>
+#include <mutex>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibQuery/leaf_executor.h"
+#include "LibQuery/service_run.h"
+
+namespace query {
+
+class LeafExecution final : public LeafRun,
+                            public std::enable_shared_from_this<LeafExecution> {
+ public:
+  LeafExecution(std::shared_ptr<const LeafDependencies> dependencies,
+                const LeafRules& rules,
+                UpstreamPtr upstream,
+                LeafRequest request,
+                LeafCallback callback);
+
+  void Start();
+
+  // LeafRun:
+  void Cancel() override;
+
+ private:
+  // The callback with its answer, to be called without the lock.
+  struct Completion {
+    LeafCallback callback;
+    LeafAnswer answer;
+    void Run() {
+      if (callback)
+        callback(std::move(answer));
+    }
+  };
+  // Servers that may get another attempt; equally long.
+  struct Candidates {
+    std::vector<const config::Server*> servers;
+    std::vector<upstream::ServerView> views;
+  };
+
+  void PrepareRuns();
+  void ArmTimers();
+  void ArmHedgeTimer();
+  void StartPrimary(ServiceRun& run);
+  Candidates CandidatesOf(const ServiceRun& run);
+  size_t ChooseReplica(const std::vector<upstream::ServerView>& candidates);
+  bool MayStart(const ServiceRun& run) const;
+  bool StartAttempt(ServiceRun& run, AttemptKind kind);
+  void Count(AttemptKind kind);
+  void OnOutcome(size_t run_index,
+                 const upstream::ShardCall& call,
+                 upstream::ShardOutcome outcome);
+  upstream::ShardOutcome Check(ServiceRun& run,
+                               const upstream::ShardCall& call,
+                               upstream::ShardOutcome outcome);
+  void NoteEnd(const ServiceRun& run,
+               const Attempt& attempt,
+               const upstream::ShardOutcome& outcome);
+  void Accept(ServiceRun& run, upstream::ShardReply reply);
+  void OnFailure(ServiceRun& run,
+                 const std::string& server,
+                 upstream::ShardFailure failure);
+  bool IsFree(upstream::ShardFailure failure) const;
+  bool MayRepeat(const ServiceRun& run) const;
+  const std::string& HedgeKey(const ServiceRun& run) const;
+  void OnHedgeDue();
+  bool Hedge(ServiceRun& run);
+  void OnObjective();
+  void OnDeadline();
+  void AbandonAll();
+  void Abandon(ServiceRun& run, MissingReason reason);
+  void CloseAttempts(ServiceRun& run);
+  void Finish(ServiceRun& run);
+  bool IsCoverageReached() const;
+  Completion CompleteIfDone();
+  base::TimerId After(base::Duration delay, void (LeafExecution::*action)());
+  base::Instant Now() const { return dependencies_->scheduler.Now(); }
+
+  const std::shared_ptr<const LeafDependencies> dependencies_;
+  const LeafRules rules_;
+  const UpstreamPtr upstream_;
+  const LeafRequest request_;
+  std::mutex mutex_;
+  // All below guarded by `mutex_`.
+  LeafCallback callback_;  // Empty once called.
+  const base::Instant deadline_;
+  std::vector<ServiceRun> runs_;  // Never resized after PrepareRuns.
+  size_t open_runs_ = 0;          // Runs that are not done.
+  uint32_t next_attempt_ = 1;
+  LeafAnswer answer_;
+  bool is_objective_over_ = false;
+  base::TimerId deadline_timer_ = base::TimerId::kNone;
+  base::TimerId objective_timer_ = base::TimerId::kNone;
+  base::TimerId hedge_timer_ = base::TimerId::kNone;
+};
+
+}  // namespace query
+
+#endif  // LIBQUERY_LEAF_EXECUTION_H_
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -11,7 +11,7 @@
 #include "LibBase/scheduler.h"
 #include "LibConfig/configuration.h"
 #include "LibQuery/leaf_message.h"
-#include "LibRouting/holder_map.h"
+#include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/hedge_policy.h"
 #include "LibUpstream/replica_policy.h"
 #include "LibUpstream/server_table.h"
@@ -26,7 +26,6 @@
 enum class ReplicaChoice { kLeastExpectedWait, kRandom };
 
 struct LeafRules {
-  routing::HolderRules holders;
   ReplicaChoice replica_choice = ReplicaChoice::kLeastExpectedWait;
   // Hedging waits while more than this share of a request's services is
   // still open: then the upstream is slow, not a few of its servers.
@@ -46,17 +45,33 @@
   upstream::HedgePolicy& hedges;
   upstream::ExtraLoadBudget& budget;
   // Told when a server refuses work because it leaves.
-  std::function<void(const std::string& address)> on_leaving;
+  std::function<void(const std::string& server)> on_leaving;
+  // Connections that this node may open to one server of the upstream.
+  std::function<int(const config::Upstream&)> connections_per_node;
+  // Of this node; empty where the way to a server does not matter.
+  std::string availability_zone = {};
 };
 
+using UpstreamPtr = std::shared_ptr<const config::Upstream>;
+
+// A leaf request that runs.
+class LeafRun {
+ public:
+  virtual ~LeafRun() = default;
+  // Ends all calls and completes with what is missing.
+  virtual void Cancel() = 0;
+};
+using LeafRunPtr = std::shared_ptr<LeafRun>;
+
 class LeafExecutor {
  public:
   LeafExecutor(LeafDependencies dependencies, LeafRules rules);
 
   // Calls `callback` once, at the latest when the request's time is over.
-  void Execute(config::ConfigurationPtr configuration,
-               LeafRequest request,
-               LeafCallback callback);
+  // `upstream` is null if it is unknown.
+  LeafRunPtr Execute(UpstreamPtr upstream,
+                     LeafRequest request,
+                     LeafCallback callback);
 
  private:
   const std::shared_ptr<const LeafDependencies> dependencies_;
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -4,11 +4,13 @@
 #define LIBQUERY_LEAF_MESSAGE_H_
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
 
 #include "LibBase/time.h"
+#include "LibConfig/route_table.h"
 #include "LibUpstream/shard_call.h"
 
 namespace query {
@@ -40,6 +42,20 @@
   bool operator==(const ServiceShards&) const = default;
 };
 
+// How a forwarded request may be run.
+struct ForwardTerms {
+  upstream::ForwardedRequestPtr request;
+  config::Repeatability repeatability = config::Repeatability::kIdempotent;
+  // Servers of one service to which the request may be sent; at least 1.
+  int max_attempts = 1;
+  // Time after which the request completes with the services answered so far,
+  // if they make up `least_share`; zero waits for all until the deadline.
+  base::Duration objective{};
+  double least_share = 1;
+
+  bool operator==(const ForwardTerms&) const = default;
+};
+
 struct LeafRequest {
   std::string request_id;  // Unique over all requests and leaves.
   std::string party;
@@ -50,6 +66,9 @@
   std::string query;
   base::Duration time_left{};
   double extra_load_share = 0;
+  // Set for a forwarded request, which `query` then does not hold. It runs on
+  // the node that took it and is never sent to another leaf.
+  std::optional<ForwardTerms> forward = std::nullopt;
 
   bool operator==(const LeafRequest&) const = default;
 };
@@ -68,6 +87,17 @@
   bool operator==(const LoadCount&) const = default;
 };
 
+// A server's success for one service of a forwarded request.
+struct ForwardedPart {
+  uint32_t service = 0;
+  upstream::ForwardedReplyPtr reply;
+
+  bool operator==(const ForwardedPart&) const = default;
+};
+
+// Whether a server may have run a forwarded request that failed.
+enum class RunState : uint8_t { kNotRun, kMayHaveRun };
+
 struct LeafAnswer {
   std::string request_id;
   uint64_t version = 0;
@@ -75,6 +105,11 @@
   // Invariant: results and missing name each shard asked for exactly once.
   std::vector<MissingShard> missing;
   LoadCount load;
+  // Of forwarded requests, in place of `results`.
+  std::vector<ForwardedPart> parts = {};
+  // The last answer of a server that ran the request and failed, if any.
+  upstream::ForwardedReplyPtr failure = nullptr;
+  RunState run_state = RunState::kNotRun;
 
   bool operator==(const LeafAnswer&) const = default;
 };
--- /dev/null
+++ b/Libraries/LibQuery/route_upstreams.cc
@@ -0,0 +1,43 @@
+// Upstreams made of routes and registered servers.
+
+#include "LibQuery/route_upstreams.h"
+
+#include <algorithm>
+#include <limits>
+
+namespace query {
+
+UpstreamPtr RouteUpstreams::For(const config::ConfigurationPtr& configuration,
+                                const std::vector<std::string>& services) {
+  const uint64_t generation = registry_.generation();
+  const std::lock_guard lock(mutex_);
+  if (generation != generation_ || configuration->revision != revision_) {
+    built_.clear();
+    generation_ = generation;
+    revision_ = configuration->revision;
+  }
+  UpstreamPtr& upstream = built_[services];
+  if (!upstream)
+    upstream = Build(*configuration, services);
+  return upstream;
+}
+
+UpstreamPtr RouteUpstreams::Build(
+    const config::Configuration& configuration,
+    const std::vector<std::string>& services) const {
+  config::Upstream upstream;
+  upstream.connections = std::numeric_limits<int>::max();
+  upstream.slots = std::numeric_limits<int>::max();
+  for (const std::string& name : services) {
+    const auto terms = configuration.routes->services.find(name);
+    const int connections = terms == configuration.routes->services.end()
+                                ? 1
+                                : terms->second.max_connections;
+    upstream.connections = std::min(upstream.connections, connections);
+    upstream.slots = std::min(upstream.slots, registry_.SlotsOf(name));
+    upstream.services.push_back({name, registry_.ServersOf(name)});
+  }
+  return std::make_shared<const config::Upstream>(std::move(upstream));
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/service_run.cc
@@ -0,0 +1,53 @@
+// Attempts at the servers of one service, and what their failures mean.
+
+#include "LibQuery/service_run.h"
+
+#include <algorithm>
+
+namespace query {
+
+using upstream::ShardFailure;
+
+bool ServiceRun::HasOpenAttempt() const {
+  return std::ranges::any_of(attempts, &Attempt::open);
+}
+
+bool ServiceRun::HasTried(const std::string& server) const {
+  return std::ranges::find(attempts, server, &Attempt::server) !=
+         attempts.end();
+}
+
+MissingReason ToMissingReason(ShardFailure failure) {
+  switch (failure) {
+    case ShardFailure::kLeaving:
+    case ShardFailure::kMisdirected:
+      return MissingReason::kNoServer;
+    case ShardFailure::kOverloaded:
+      return MissingReason::kOverloaded;
+    case ShardFailure::kVersionGone:
+      return MissingReason::kVersionGone;
+    case ShardFailure::kNoConnection:
+    case ShardFailure::kConnectionLost:
+      return MissingReason::kNoConnection;
+    case ShardFailure::kTimeout:
+    case ShardFailure::kCancelled:
+      return MissingReason::kTimeout;
+    case ShardFailure::kBroken:
+    case ShardFailure::kFailed:
+      return MissingReason::kBrokenAnswer;
+  }
+  return MissingReason::kTimeout;
+}
+
+bool DidNoWork(ShardFailure failure) {
+  return failure == ShardFailure::kLeaving ||
+         failure == ShardFailure::kVersionGone ||
+         failure == ShardFailure::kNoConnection;
+}
+
+bool ProvesNotRun(ShardFailure failure) {
+  return DidNoWork(failure) || failure == ShardFailure::kMisdirected ||
+         failure == ShardFailure::kOverloaded;
+}
+
+}  // namespace query
--- /dev/null
+++ b/Libraries/LibQuery/service_run.h
@@ -0,0 +1,56 @@
+// One service of a leaf request: the attempts made at its servers.
+
+#ifndef LIBQUERY_SERVICE_RUN_H_
+#define LIBQUERY_SERVICE_RUN_H_
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "LibBase/time.h"
+#include "LibConfig/upstream.h"
+#include "LibQuery/leaf_message.h"
+#include "LibUpstream/transport.h"
+
+namespace query {
+
+enum class AttemptKind { kPrimary, kHedge, kRetry };
+
+struct Attempt {
+  uint32_t number = 0;
+  std::string server;  // As config::Server::identity.
+  upstream::CallId call = upstream::CallId::kNone;
+  base::Instant started;
+  bool open = true;
+};
+
+struct ServiceRun {
+  const ServiceShards* work = nullptr;
+  const config::Service* service = nullptr;  // Null if unknown.
+  std::string account;                       // Of the extra load.
+  std::vector<Attempt> attempts;
+  // Attempts that never reached a server.
+  int unsent = 0;
+  std::optional<base::Instant> hedge_due;
+  MissingReason last_failure = MissingReason::kNoServer;
+  RunState run_state = RunState::kNotRun;
+  bool done = false;
+
+  bool HasOpenAttempt() const;
+  bool HasTried(const std::string& server) const;
+  int sent() const { return static_cast<int>(attempts.size()) - unsent; }
+};
+
+MissingReason ToMissingReason(upstream::ShardFailure failure);
+
+// Whether the server did no work for the attempt, so that another one is no
+// extra load.
+bool DidNoWork(upstream::ShardFailure failure);
+
+// Whether the server can't have run the attempt.
+bool ProvesNotRun(upstream::ShardFailure failure);
+
+}  // namespace query
+
+#endif  // LIBQUERY_SERVICE_RUN_H_
--- a/Libraries/LibUpstream/hedge_policy.h
+++ b/Libraries/LibUpstream/hedge_policy.h
@@ -1,5 +1,4 @@
-// When a second attempt of a repeatable call starts, and what extra load it
-// may cause.
+// When a second attempt of an idempotent call starts.
 
 #ifndef LIBUPSTREAM_HEDGE_POLICY_H_
 #define LIBUPSTREAM_HEDGE_POLICY_H_
@@ -45,22 +44,6 @@
   base::Sharded<std::unordered_map<std::string, LatencyDigest>> digests_;
 };
 
-// Extra sub-requests (hedges and retries together) as a share of primary
-// ones, for each party and upstream.
-class ExtraLoadBudget {
- public:
-  // `burst` extra sub-requests may be spent before any was earned.
-  explicit ExtraLoadBudget(double burst) : burst_(burst) {}
-
-  void OnPrimary(const std::string& account, double share);
-  bool TrySpend(const std::string& account);
-
- private:
-  const double burst_;
-  // Tokens spent below the initial burst; at most `burst_` remain unused.
-  base::Sharded<std::unordered_map<std::string, double>> spent_;
-};
-
 }  // namespace upstream
 
 #endif  // LIBUPSTREAM_HEDGE_POLICY_H_
--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -12,43 +12,22 @@
 using base::ErrorKind;
 
 ShardFailure ToFailure(const http::ExchangeError& error) {
+  if (error.error.kind() == ErrorKind::kCancelled)
+    return ShardFailure::kCancelled;
+  if (error.sent == http::SentState::kNothingSent)
+    return ShardFailure::kNoConnection;
   switch (error.error.kind()) {
     case ErrorKind::kTimeout:
       return ShardFailure::kTimeout;
-    case ErrorKind::kCancelled:
-      return ShardFailure::kCancelled;
     case ErrorKind::kProtocol:
       return ShardFailure::kBroken;
     default:
-      return ShardFailure::kNoConnection;
+      return ShardFailure::kConnectionLost;
   }
 }
 
-ShardOutcome ToOutcome(const http::ExchangeResult& result) {
-  if (!result)
-    return tl::make_unexpected(ToFailure(result.error()));
-  if (const auto refusal = RefusalOf(*result))
-    return tl::make_unexpected(*refusal);
-  auto reply = ParseReply(result->body);
-  if (result->status != http::kStatusOk || !reply)
-    return tl::make_unexpected(ShardFailure::kBroken);
-  return *std::move(reply);
-}
-
 }  // namespace
 
-std::optional<ShardFailure> RefusalOf(const http::Response& response) {
-  const std::string_view refusal =
-      http::FindHeader(response.headers, "Shard-Refusal");
-  if (refusal == "leaving")
-    return ShardFailure::kLeaving;
-  if (refusal == "overloaded")
-    return ShardFailure::kOverloaded;
-  if (refusal == "version_gone")
-    return ShardFailure::kVersionGone;
-  return std::nullopt;
-}
-
 struct HttpTransport::Call {
   uint64_t id = 0;
   ServerTarget target;
@@ -67,6 +46,7 @@
 
 struct HttpTransport::State {
   std::shared_ptr<ConnectionPool> pool;
+  std::shared_ptr<const ShardCodec> codec;
   std::atomic<uint64_t> next_id{1};
   base::Sharded<std::unordered_map<uint64_t, std::shared_ptr<Call>>> calls;
 
@@ -76,9 +56,11 @@
   }
 };
 
-HttpTransport::HttpTransport(std::shared_ptr<ConnectionPool> pool)
+HttpTransport::HttpTransport(std::shared_ptr<ConnectionPool> pool,
+                             std::shared_ptr<const ShardCodec> codec)
     : state_(std::make_shared<State>()) {
   state_->pool = std::move(pool);
+  state_->codec = std::move(codec);
 }
 
 HttpTransport::~HttpTransport() = default;
@@ -90,12 +72,16 @@
   auto call = std::make_shared<Call>();
   call->target = target;
   call->deadline = base::MonotonicClock::now() + timeout;
-  call->make_request = [shard_call](base::Duration time_left) {
-    return http::Request{
-        "POST", "/shards", {}, SerializeCall(shard_call, time_left)};
+  call->make_request = [codec = state_->codec, target,
+                        shard_call](base::Duration time_left) {
+    return codec->Encode(target, shard_call, time_left);
   };
-  call->callback = [callback = std::move(callback)](auto result) {
-    callback(ToOutcome(result));
+  call->callback = [codec = state_->codec, shard_call,
+                    callback = std::move(callback)](auto result) {
+    if (result)
+      callback(codec->Decode(shard_call, *std::move(result)));
+    else
+      callback(tl::make_unexpected(ToFailure(result.error())));
   };
   return StartCall(std::move(call));
 }
@@ -178,10 +164,10 @@
   bool retry = false;
   {
     const std::lock_guard lock(call->mutex);
-    // A kept connection may have been closed by the server meanwhile. Shard
-    // calls are idempotent, so they go once more on another connection.
+    // A kept connection may have been closed by the server meanwhile. Nothing
+    // of the call reached it then, so that it goes on another connection.
     retry = !result && was_used && !call->cancelled && !call->retried &&
-            result.error().error.kind() == ErrorKind::kUnavailable;
+            result.error().sent == http::SentState::kNothingSent;
     call->retried = call->retried || retry;
   }
   if (retry) {
--- a/Libraries/LibUpstream/http_transport.h
+++ b/Libraries/LibUpstream/http_transport.h
@@ -12,13 +12,15 @@
 #include "LibBase/sharded.h"
 #include "LibUpstream/connection_pool.h"
 #include "LibUpstream/report.h"
+#include "LibUpstream/shard_codec.h"
 #include "LibUpstream/transport.h"
 
 namespace upstream {
 
 class HttpTransport final : public Transport, public ReportSource {
  public:
-  explicit HttpTransport(std::shared_ptr<ConnectionPool> pool);
+  HttpTransport(std::shared_ptr<ConnectionPool> pool,
+                std::shared_ptr<const ShardCodec> codec);
   ~HttpTransport() override;
 
   CallId Start(const ServerTarget& target,
@@ -48,10 +50,6 @@
   const std::shared_ptr<State> state_;
 };
 
-// What a server's HTTP answer means. The header Shard-Refusal marks answers
-// of servers that did not run the request.
-std::optional<ShardFailure> RefusalOf(const http::Response& response);
-
 }  // namespace upstream
 
 #endif  // LIBUPSTREAM_HTTP_TRANSPORT_H_
--- /dev/null
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -0,0 +1,126 @@
+// Claims of servers, merged by revision.
+
+#include "LibUpstream/server_registry.h"
+
+#include <algorithm>
+#include <nlohmann/json.hpp>
+
+namespace upstream {
+
+using nlohmann::json;
+
+std::string SerializeClaim(const ServerClaim& claim) {
+  json document = {{"instance", claim.instance}, {"revision", claim.revision}};
+  if (const auto& server = claim.server)
+    document["server"] = {{"service", server->service},
+                          {"address", server->address},
+                          {"availabilityZone", server->availability_zone},
+                          {"slots", server->slots},
+                          {"leaving", server->phase == ServerPhase::kLeaving},
+                          {"warmUpUs", server->warm_up.count()},
+                          {"incarnation", server->incarnation},
+                          {"sequence", server->sequence}};
+  return document.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+base::Result<ServerClaim> ParseClaim(std::string_view text) {
+  try {
+    const json document = json::parse(text);
+    ServerClaim claim;
+    claim.instance = document.at("instance").get<std::string>();
+    claim.revision = document.at("revision").get<uint64_t>();
+    const auto server = document.find("server");
+    if (server == document.end())
+      return claim;
+    claim.server = RegisteredServer{
+        claim.instance,
+        server->at("service").get<std::string>(),
+        server->at("address").get<std::string>(),
+        server->at("availabilityZone").get<std::string>(),
+        server->at("slots").get<int>(),
+        server->at("leaving").get<bool>() ? ServerPhase::kLeaving
+                                          : ServerPhase::kServing,
+        base::Duration(server->at("warmUpUs").get<int64_t>()),
+        server->at("incarnation").get<uint64_t>(),
+        server->at("sequence").get<uint64_t>()};
+    return claim;
+  } catch (const json::exception& error) {
+    return base::Fail(base::ErrorKind::kProtocol,
+                      std::string("server claim: ") + error.what(),
+                      "run the same version on all nodes");
+  }
+}
+
+ClaimEffect ServerRegistry::Apply(const ServerClaim& claim) {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(claim.instance);
+  if (found == entries_.end() && !claim.server)
+    return ClaimEffect::kNone;
+  Entry& entry = entries_[claim.instance];
+  if (claim.revision <= entry.revision)
+    return ClaimEffect::kNone;
+  // A claim that was delayed on its way to the store says nothing new.
+  if (claim.server && claim.server->incarnation == entry.server.incarnation &&
+      claim.server->sequence < entry.server.sequence)
+    return ClaimEffect::kNone;
+  const Entry before = entry;
+  entry.revision = claim.revision;
+  entry.is_removed = !claim.server;
+  if (claim.server)
+    entry.server = *claim.server;
+  if (entry.server.phase == ServerPhase::kLeaving)
+    entry.leaving_incarnation = entry.server.incarnation;
+  const bool was_serving = before.revision != 0 && before.takes_work();
+  if (was_serving == entry.takes_work() && before.server == entry.server)
+    return ClaimEffect::kNone;
+  ++generation_;
+  if (was_serving == entry.takes_work())
+    return ClaimEffect::kUpdated;
+  return was_serving ? ClaimEffect::kLeaving : ClaimEffect::kServing;
+}
+
+std::vector<config::Server> ServerRegistry::ServersOf(
+    const std::string& service) const {
+  const std::lock_guard lock(mutex_);
+  std::vector<config::Server> servers;
+  for (const auto& [instance, entry] : entries_) {
+    if (entry.server.service == service && entry.takes_work())
+      servers.push_back(
+          {entry.server.address, entry.server.availability_zone, instance});
+  }
+  return servers;
+}
+
+int ServerRegistry::SlotsOf(const std::string& service) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = std::ranges::find_if(entries_, [&](const auto& item) {
+    return item.second.server.service == service;
+  });
+  return found == entries_.end() ? 1 : found->second.server.slots;
+}
+
+std::optional<RegisteredServer> ServerRegistry::Find(
+    const std::string& instance) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(instance);
+  if (found == entries_.end())
+    return std::nullopt;
+  return found->second.server;
+}
+
+uint64_t ServerRegistry::generation() const {
+  const std::lock_guard lock(mutex_);
+  return generation_;
+}
+
+std::vector<ServerClaim> ServerRegistry::Dump() const {
+  const std::lock_guard lock(mutex_);
+  std::vector<ServerClaim> claims;
+  for (const auto& [instance, entry] : entries_)
+    claims.push_back(
+        {instance, entry.revision,
+         entry.takes_work() ? std::optional(entry.server) : std::nullopt});
+  return claims;
+}
+
+}  // namespace upstream
--- a/Libraries/LibUpstream/server_table.h
+++ b/Libraries/LibUpstream/server_table.h
@@ -22,6 +22,8 @@
   base::Duration latency{};  // Decayed mean; zero while none is known.
   bool is_leaving = false;
   bool is_unreachable = false;
+  // Whether the server is in another availability zone than this node.
+  bool is_remote = false;
 
   bool operator==(const ServerView&) const = default;
 };
--- a/Libraries/LibUpstream/shard_call.cc
+++ b/Libraries/LibUpstream/shard_call.cc
@@ -25,6 +25,12 @@
       return "broken_answer";
     case ShardFailure::kCancelled:
       return "cancelled";
+    case ShardFailure::kMisdirected:
+      return "misdirected";
+    case ShardFailure::kConnectionLost:
+      return "connection_lost";
+    case ShardFailure::kFailed:
+      return "failed";
   }
   return "broken_answer";
 }
@@ -62,8 +68,11 @@
 
 bool IsAnswerTo(const ShardReply& reply, const ShardCall& call) {
   if (reply.request_id != call.request_id || reply.attempt != call.attempt ||
-      reply.version != call.version || reply.shard_count != call.shard_count ||
-      reply.results.size() != call.shards.size())
+      reply.version != call.version || reply.shard_count != call.shard_count)
+    return false;
+  if (call.forwarded)
+    return reply.forwarded != nullptr;
+  if (reply.results.size() != call.shards.size())
     return false;
   std::vector<uint32_t> answered;
   std::ranges::transform(reply.results, std::back_inserter(answered),
--- a/Libraries/LibUpstream/shard_call.h
+++ b/Libraries/LibUpstream/shard_call.h
@@ -10,6 +10,7 @@
 
 #include "LibBase/error.h"
 #include "LibBase/time.h"
+#include "LibUpstream/forwarded.h"
 
 namespace upstream {
 
@@ -21,6 +22,8 @@
   uint32_t shard_count = 0;
   std::vector<uint32_t> shards;
   std::string query;
+  // Handed on in place of `query` where it is set.
+  ForwardedRequestPtr forwarded = nullptr;
 
   bool operator==(const ShardCall&) const = default;
 };
@@ -38,6 +41,8 @@
   uint64_t version = 0;
   uint32_t shard_count = 0;
   std::vector<ShardResult> results;
+  // The answer to a forwarded request, in place of `results`.
+  ForwardedReplyPtr forwarded = nullptr;
 
   bool operator==(const ShardReply&) const = default;
 };
@@ -50,6 +55,9 @@
   kTimeout,
   kBroken,  // The answer is damaged or belongs to another request.
   kCancelled,
+  kMisdirected,     // Refused: the address belongs to another server by now.
+  kConnectionLost,  // After the call was sent.
+  kFailed,          // The server ran the request and answered with an error.
 };
 
 std::string_view ShardFailureName(ShardFailure failure);
--- a/Libraries/LibUpstream/transport.h
+++ b/Libraries/LibUpstream/transport.h
@@ -24,6 +24,8 @@
 struct ServerTarget {
   std::string address;
   int max_connections = 1;
+  // As config::Server::instance.
+  std::string instance = {};
 };
 
 class Transport {
--- a/Services/celerycroft/command_line.cc
+++ b/Services/celerycroft/command_line.cc
@@ -78,6 +78,9 @@
     {"dump", "dump --operator IP:PORT", "Shows a node's whole state."},
     {"reckon", "reckon YYYY-MM --store IP:PORT [--csv]",
      "Shows who took what in a month, and who took more than agreed."},
+    {"front", "front [--settings FILE]",
+     "Runs a forwarding node on the platform; the file is that of the variable "
+     "CELERYCROFT_SETTINGS unless given."},
 });
 
 base::Result<int> ParseDeadline(const std::string& text) {
--- a/Services/celerycroft/commands.h
+++ b/Services/celerycroft/commands.h
@@ -3,6 +3,10 @@
 #ifndef CELERYCROFT_COMMANDS_H_
 #define CELERYCROFT_COMMANDS_H_
 
+#include <string>
+
+#include "LibBase/error.h"
+#include "LibConfig/issue.h"
 #include "command_line.h"
 
 namespace celerycroft {
@@ -18,6 +22,14 @@
 int RunDump(const CommandLine& line);
 int RunReckon(const CommandLine& line);
 
+// Only with the adapter to the platform.
+int RunFront(const CommandLine& line);
+
+base::Result<std::string> ReadFile(const std::string& path);
+
+// Prints issues and returns whether there were any.
+bool PrintIssues(const config::Issues& issues);
+
 // Prints an error and returns kExitFailure.
 int ReportError(const base::Error& error);
 
--- a/Services/celerycroft/main.cc
+++ b/Services/celerycroft/main.cc
@@ -27,6 +27,9 @@
     {"status", RunStatus},
     {"dump", RunDump},
     {"reckon", RunReckon},
+#ifdef CELERYCROFT_HAS_PLATFORM
+    {"front", RunFront},
+#endif
 });
 
 int Main(int argc, char** argv) {
--- a/Services/celerycroft/node.cc
+++ b/Services/celerycroft/node.cc
@@ -49,7 +49,7 @@
       random_(base::EntropySeed()),
       store_(io, settings_.store_address),
       pool_(upstream::ConnectionPool::Create(io)),
-      transport_(pool_),
+      transport_(pool_, std::make_shared<const upstream::JsonShardCodec>()),
       booking_transport_(pool_,
                          [this](const std::string& upstream) {
                            return core_->ConnectionsFor(upstream);
--- a/Services/celerycroft/node_command.cc
+++ b/Services/celerycroft/node_command.cc
@@ -20,6 +20,14 @@
 
 namespace {
 
+void RunThreads(boost::asio::io_context& io, int count) {
+  std::vector<std::jthread> threads;
+  for (int i = 0; i < count; ++i)
+    threads.emplace_back([&io] { io.run(); });
+}
+
+}  // namespace
+
 base::Result<std::string> ReadFile(const std::string& path) {
   std::ifstream stream(path);
   if (!stream)
@@ -30,21 +38,12 @@
   return text.str();
 }
 
-// Prints issues and returns whether there were any.
 bool PrintIssues(const config::Issues& issues) {
   for (const config::Issue& issue : issues)
     std::cerr << config::ToString(issue) << "\n";
   return !issues.empty();
 }
 
-void RunThreads(boost::asio::io_context& io, int count) {
-  std::vector<std::jthread> threads;
-  for (int i = 0; i < count; ++i)
-    threads.emplace_back([&io] { io.run(); });
-}
-
-}  // namespace
-
 int ReportError(const base::Error& error) {
   std::cerr << error.ToString() << "\n";
   return kExitFailure;
