--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -27,6 +27,9 @@
      "An address of the settings can't be listened on."},
     {Event::kPauseDetected, Severity::kWarning, "pause_detected",
      "The process did not run for longer than its leases allow."},
+    {Event::kSettingsReload, Severity::kInfo, "settings_reload",
+     "The settings file was announced as changed; it holds from the next "
+     "start."},
     {Event::kConfigurationInForce, Severity::kInfo, "configuration_in_force",
      "A higher revision took effect."},
     {Event::kConfigurationRejected, Severity::kError, "configuration_rejected",
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -20,6 +20,7 @@
   kNodeStopped = 102,
   kListenFailed = 103,
   kPauseDetected = 104,
+  kSettingsReload = 105,
   kConfigurationInForce = 200,
   kConfigurationRejected = 201,
   kStoreUnavailable = 202,
--- a/Libraries/LibConfig/forward_settings.cc
+++ b/Libraries/LibConfig/forward_settings.cc
@@ -15,6 +15,7 @@
 constexpr IntegerRange kGraceSeconds{1, 600};
 constexpr IntegerRange kGossipMs{20, 10'000};
 constexpr IntegerRange kWindowSeconds{1, 600};
+constexpr IntegerRange kRemoteCostMs{0, 10'000};
 constexpr NumberRange kShare{0, 1};
 constexpr NumberRange kSlack{0, 1e6};
 constexpr double kDefaultShare = 0.05;
@@ -51,6 +52,8 @@
       std::chrono::seconds(reader.Integer("stopGraceSeconds", kGraceSeconds));
   settings.gossip_period = std::chrono::milliseconds(
       reader.OptionalInteger("gossipPeriodMs", kGossipMs, kDefaultGossipMs));
+  settings.remote_cost = std::chrono::milliseconds(
+      reader.OptionalInteger("remoteCostMs", kRemoteCostMs, 0));
   settings.extra_load_share =
       reader.OptionalNumber("extraLoadShare", kShare, kDefaultShare);
   settings.extra_load_window = std::chrono::seconds(reader.OptionalInteger(
--- a/Libraries/LibConfig/forward_settings.h
+++ b/Libraries/LibConfig/forward_settings.h
@@ -25,6 +25,7 @@
   base::Duration address_hold{};  // That callers are told.
   base::Duration stop_grace{};    // From the signal to stop to the kill.
   base::Duration gossip_period{};
+  base::Duration remote_cost{};  // As query::LeafRules::remote_cost.
   double extra_load_share = 0;
   base::Duration extra_load_window{};
   double extra_load_slack = 0;
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -32,6 +32,12 @@
   return rules;
 }
 
+query::LeafRules MakeLeafRules(const ForwardSettings& settings) {
+  query::LeafRules rules;
+  rules.remote_cost = settings.remote_cost;
+  return rules;
+}
+
 membership::Fact ToFact(const config::Manifest& manifest) {
   return {std::string(kManifestFact),
           {manifest.revision, 0},
@@ -123,7 +129,7 @@
                return ConnectionsPerNode(upstream);
              },
              settings_.self.availability_zone},
-            {}),
+            MakeLeafRules(settings_)),
       filters_(MakeFilters()) {}
 
 ForwardCore::~ForwardCore() = default;
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -38,6 +38,7 @@
   // Extra sub-requests that all nodes together may cause.
   double extra_load_share = 0;
   upstream::WindowBudgetRules extra_load;
+  base::Duration remote_cost{};  // As query::LeafRules::remote_cost.
   // Prefixes of the store: of the configuration's key, and of servers' claims.
   std::string configuration_prefix;
   std::string registry_prefix;
--- a/Libraries/LibQuery/booking_runner.cc
+++ b/Libraries/LibQuery/booking_runner.cc
@@ -72,7 +72,7 @@
     }
     if (views.empty())
       return "";
-    const upstream::LeastExpectedWaitPolicy policy(slots_);
+    const upstream::LeastExpectedWaitPolicy policy(slots_, base::Duration());
     std::string address =
         views[policy.Choose(views, dependencies_->random)].address;
     std::erase(untried_, address);
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -126,7 +126,7 @@
   if (rules_.replica_choice == ReplicaChoice::kRandom)
     return upstream::RandomReplicaPolicy().Choose(candidates,
                                                   dependencies_->random);
-  return upstream::LeastExpectedWaitPolicy(upstream_->slots)
+  return upstream::LeastExpectedWaitPolicy(upstream_->slots, rules_.remote_cost)
       .Choose(candidates, dependencies_->random);
 }
 
@@ -158,7 +158,7 @@
   const upstream::ServerTarget target{
       chosen.address, dependencies_->connections_per_node(*upstream_),
       chosen.instance};
-  dependencies_->servers.OnCallStarted(attempt.server);
+  dependencies_->servers.OnCallStarted(attempt.server, Now());
   const size_t run_index = static_cast<size_t>(&run - runs_.data());
   attempt.call = dependencies_->transport.Start(
       target, call, deadline_ - Now(),
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -32,6 +32,9 @@
   double slow_upstream_share = 0.35;
   // Calls that one service of one request may cause, the first included.
   int max_attempts = 3;
+  // What a call to a server in another availability zone costs, as the time
+  // that a caller may wait longer to avoid it.
+  base::Duration remote_cost{};
 
   bool operator==(const LeafRules&) const = default;
 };
--- a/Libraries/LibUpstream/extra_load_budget.cc
+++ b/Libraries/LibUpstream/extra_load_budget.cc
@@ -10,6 +10,8 @@
 namespace {
 
 constexpr int64_t kSlices = 20;
+// Of sums of shares that make up a whole sub-request.
+constexpr double kRounding = 1e-6;
 
 }  // namespace
 
@@ -75,7 +77,7 @@
     const double stale = account.slices.front().number <= slice.number - kSlices
                              ? account.slices.front().earned
                              : 0;
-    if (account.spent + 1 > account.earned - stale + slack)
+    if (account.spent + 1 > account.earned - stale + slack + kRounding)
       return false;
     slice.spent += 1;
     account.spent += 1;
--- a/Libraries/LibUpstream/replica_policy.h
+++ b/Libraries/LibUpstream/replica_policy.h
@@ -28,19 +28,21 @@
                 base::Random& random) const override;
 };
 
-// Expected wait by outstanding calls and decayed latency, over all replicas
-// of the service; one in `kExplorePeriod` choices is random so that a replica
-// that was slow is tried again.
+// Expected wait by outstanding calls, decayed latency, silence and the way,
+// over all replicas of the service; one in `kExplorePeriod` choices is random
+// so that a replica that was slow is tried again.
 class LeastExpectedWaitPolicy final : public ReplicaPolicy {
  public:
-  explicit LeastExpectedWaitPolicy(int slots) : slots_(slots) {}
+  LeastExpectedWaitPolicy(int slots, base::Duration remote_cost)
+      : slots_(slots), remote_cost_(remote_cost) {}
   size_t Choose(std::span<const ServerView> candidates,
                 base::Random& random) const override;
 
  private:
   double ExpectedWait(const ServerView& view) const;
 
-  const int slots_;  // Of each server; at least 1.
+  const int slots_;                   // Of each server; at least 1.
+  const base::Duration remote_cost_;  // Added for another availability zone.
 };
 
 }  // namespace upstream
--- a/Libraries/LibUpstream/server_table.cc
+++ b/Libraries/LibUpstream/server_table.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cassert>
+#include <cmath>
 
 #include "LibBase/log.h"
 
@@ -13,18 +14,38 @@
 
 // Weight of one new latency sample.
 constexpr double kLatencyGain = 0.2;
+constexpr double kFailureGain = 0.2;
+constexpr base::Duration kFailureHalfLife = std::chrono::seconds(2);
+// Between calls to a server that answers none: seldom enough that few callers
+// wait for it, often enough that it is soon found back.
+constexpr base::Duration kTrialPeriod = std::chrono::milliseconds(500);
 constexpr base::Duration kUnreachablePause = std::chrono::milliseconds(500);
 
 }  // namespace
 
+// Fades by itself, so that a server that failed is tried again.
+double ServerTable::FailureShare(const Entry& entry, base::Instant now) {
+  const double age = base::ToSeconds(now - entry.last_failure);
+  return entry.failure_share *
+         std::exp2(-age / base::ToSeconds(kFailureHalfLife));
+}
+
 ServerView ServerTable::ToView(const std::string& address,
                                const Entry& entry,
                                base::Instant now) {
   const bool leaving = entry.leaving_incarnation &&
                        *entry.leaving_incarnation >= entry.known_incarnation;
-  return {address, entry.outstanding,
-          base::Duration(static_cast<int64_t>(entry.latency_us)), leaving,
-          now < entry.unreachable_until};
+  const bool is_silent =
+      entry.abandoned > 0 ? now < entry.next_trial : entry.outstanding > 0;
+  const base::Duration silence =
+      is_silent ? now - entry.last_progress : base::Duration();
+  return {address,
+          entry.outstanding,
+          base::Duration(static_cast<int64_t>(entry.latency_us)),
+          leaving,
+          now < entry.unreachable_until,
+          silence,
+          FailureShare(entry, now)};
 }
 
 ServerView ServerTable::View(const std::string& address, base::Instant now) {
@@ -33,9 +54,15 @@
   });
 }
 
-void ServerTable::OnCallStarted(const std::string& address) {
-  entries_.With(address,
-                [&](auto& entries) { ++entries[address].outstanding; });
+void ServerTable::OnCallStarted(const std::string& address, base::Instant now) {
+  entries_.With(address, [&](auto& entries) {
+    Entry& entry = entries[address];
+    if (entry.outstanding == 0 && entry.abandoned == 0)
+      entry.last_progress = now;
+    if (entry.abandoned > 0 && now >= entry.next_trial)
+      entry.next_trial = now + kTrialPeriod;
+    ++entry.outstanding;
+  });
 }
 
 void ServerTable::OnCallEnded(const std::string& address,
@@ -46,6 +73,16 @@
     Entry& entry = entries[address];
     --entry.outstanding;
     assert(entry.outstanding >= 0);
+    if (end == CallEnd::kAbandoned) {
+      if (entry.abandoned++ == 0)
+        entry.next_trial = now + kTrialPeriod;
+    } else {
+      entry.last_progress = now;
+      entry.abandoned = 0;
+      entry.failure_share = FailureShare(entry, now) * (1 - kFailureGain) +
+                            (end == CallEnd::kFailed ? kFailureGain : 0);
+      entry.last_failure = now;
+    }
     const auto sample = static_cast<double>(elapsed.count());
     // NOTE: An abandoned call only shows that the latency is no less.
     if (end == CallEnd::kAbandoned && sample < entry.latency_us)
--- a/Libraries/LibUpstream/server_table.h
+++ b/Libraries/LibUpstream/server_table.h
@@ -22,6 +22,11 @@
   base::Duration latency{};  // Decayed mean; zero while none is known.
   bool is_leaving = false;
   bool is_unreachable = false;
+  // How long the server has answered none of its calls; zero where it has no
+  // unanswered ones, and where a call may try whether it answers again.
+  base::Duration silence{};
+  // Decayed share of calls that failed, refusals included.
+  double failure_share = 0;
   // Whether the server is in another availability zone than this node.
   bool is_remote = false;
 
@@ -34,7 +39,7 @@
  public:
   ServerView View(const std::string& address, base::Instant now);
 
-  void OnCallStarted(const std::string& address);
+  void OnCallStarted(const std::string& address, base::Instant now);
   // For kAbandoned, `elapsed` is a lower bound of the latency.
   void OnCallEnded(const std::string& address,
                    CallEnd end,
@@ -62,7 +67,16 @@
     // the same incarnation can't take it back.
     std::optional<uint64_t> leaving_incarnation;
     base::Instant unreachable_until{};
+    // When a call last ended, or the first of the unanswered ones began.
+    base::Instant last_progress{};
+    // Calls given up since the last that ended by itself.
+    int abandoned = 0;
+    // When a server with abandoned calls may get the next one.
+    base::Instant next_trial{};
+    double failure_share = 0;
+    base::Instant last_failure{};
   };
+  static double FailureShare(const Entry& entry, base::Instant now);
   static ServerView ToView(const std::string& address,
                            const Entry& entry,
                            base::Instant now);
