LibUpstream: Leave a silent server alone as long again as it was silent

Cause: a call that lost to its hedge marked its server silent for 500 ms, far longer than a pause. Ruled out: not counting such calls, which makes a dark server attractive again as soon as its calls were given up. Change: the silence seen so far counts, and is waited once more before the next call, up to 1 s.

--- a/Libraries/LibUpstream/server_table.cc
+++ b/Libraries/LibUpstream/server_table.cc
@@ -16,9 +16,9 @@
 constexpr double kLatencyGain = 0.2;
 constexpr double kFailureGain = 0.2;
 constexpr base::Duration kFailureHalfLife = std::chrono::seconds(2);
-// Between calls to a server that answers none: seldom enough that few callers
-// wait for it, often enough that it is soon found back.
-constexpr base::Duration kTrialPeriod = std::chrono::milliseconds(500);
+// Between calls to a server that answers none, at most: a server that came
+// back is found within it.
+constexpr base::Duration kLongestTrialPause = std::chrono::milliseconds(1000);
 constexpr base::Duration kUnreachablePause = std::chrono::milliseconds(500);
 
 }  // namespace
@@ -30,6 +30,11 @@
          std::exp2(-age / base::ToSeconds(kFailureHalfLife));
 }
 
+// A server is left alone for as long again as it has been silent.
+base::Duration ServerTable::TrialPause(const Entry& entry, base::Instant now) {
+  return std::min(now - entry.last_progress, kLongestTrialPause);
+}
+
 ServerView ServerTable::ToView(const std::string& address,
                                const Entry& entry,
                                base::Instant now) {
@@ -37,8 +42,10 @@
                        *entry.leaving_incarnation >= entry.known_incarnation;
   const bool is_silent =
       entry.abandoned > 0 ? now < entry.next_trial : entry.outstanding > 0;
+  const base::Instant seen_until =
+      entry.outstanding > 0 ? now : entry.last_abandoned;
   const base::Duration silence =
-      is_silent ? now - entry.last_progress : base::Duration();
+      is_silent ? seen_until - entry.last_progress : base::Duration();
   return {address,
           entry.outstanding,
           base::Duration(static_cast<int64_t>(entry.latency_us)),
@@ -60,7 +67,7 @@
     if (entry.outstanding == 0 && entry.abandoned == 0)
       entry.last_progress = now;
     if (entry.abandoned > 0 && now >= entry.next_trial)
-      entry.next_trial = now + kTrialPeriod;
+      entry.next_trial = now + TrialPause(entry, now);
     ++entry.outstanding;
   });
 }
@@ -74,8 +81,9 @@
     --entry.outstanding;
     assert(entry.outstanding >= 0);
     if (end == CallEnd::kAbandoned) {
+      entry.last_abandoned = now;
       if (entry.abandoned++ == 0)
-        entry.next_trial = now + kTrialPeriod;
+        entry.next_trial = now + TrialPause(entry, now);
     } else {
       entry.last_progress = now;
       entry.abandoned = 0;
--- a/Libraries/LibUpstream/server_table.h
+++ b/Libraries/LibUpstream/server_table.h
@@ -71,12 +71,14 @@
     base::Instant last_progress{};
     // Calls given up since the last that ended by itself.
     int abandoned = 0;
+    base::Instant last_abandoned{};
     // When a server with abandoned calls may get the next one.
     base::Instant next_trial{};
     double failure_share = 0;
     base::Instant last_failure{};
   };
   static double FailureShare(const Entry& entry, base::Instant now);
+  static base::Duration TrialPause(const Entry& entry, base::Instant now);
   static ServerView ToView(const std::string& address,
                            const Entry& entry,
                            base::Instant now);
