LibNode: One watcher of the store a zone, and news by gossip

With fewer watchers CONFIG broke: a manifest without a publication identifier was spread and silently rejected by each reader, and content that no peer had yet was never fetched again (the field for it was never written). Change: a prefix follower watches only as its zone's delegate among nodes that the store answers, and lists now and then otherwise; missing content is kept and fetched again, from the own zone first; rejected facts are logged; hedges go by the route's latency and, before it is known, by its objective.

--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -46,6 +46,8 @@
      "A peer is known for the first time, or again."},
     {Event::kPeerCallFailed, Severity::kWarning, "peer_call_failed",
      "A call to a peer ended without an answer."},
+    {Event::kFactRejected, Severity::kError, "fact_rejected",
+     "A fact that a peer spread can't be read."},
     {Event::kServerLeaving, Severity::kInfo, "server_leaving",
      "A server of an upstream gets no new work."},
     {Event::kServerUnreachable, Severity::kWarning, "server_unreachable",
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -29,6 +29,7 @@
   kPeerDead = 301,
   kPeerJoined = 302,
   kPeerCallFailed = 303,
+  kFactRejected = 304,
   kServerLeaving = 400,
   kServerUnreachable = 401,
   kServerProtocolError = 402,
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -18,9 +18,14 @@
 
 constexpr std::string_view kClaimPrefix = "claim/";
 constexpr std::string_view kManifestFact = "manifest";
+constexpr std::string_view kStoreHealthPrefix = "store/";
+constexpr std::string_view kSilentStore = "silent";
+constexpr std::string_view kAnsweringStore = "answers";
+// Of a zone. Other zones' watchers stand in while one is not yet replaced.
+constexpr size_t kWatchersPerZone = 1;
 // Of a service's latency; the rest are stragglers.
 constexpr double kHedgeQuantile = 0.95;
-constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(200);
+constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(100);
 // Nodes that a server's connections are split among, at least: holders under
 // an old view and under a new one stay within the limit together.
 constexpr size_t kLeastConnectionSharers = 5;
@@ -50,6 +55,11 @@
           upstream::SerializeClaim(claim)};
 }
 
+void LogRejected(const membership::Fact& fact, const base::Error& error) {
+  base::Log(Event::kFactRejected,
+            {{"key", fact.key}, {"reason", error.ToString()}});
+}
+
 platform::ConfigurationController::Parser MakeParser(
     const ForwardReaders& readers) {
   return [read = readers.read_configuration](std::string_view content,
@@ -108,14 +118,16 @@
           world_.scheduler,
           world_.random,
           world_.store,
+          [this] { return IsWatcher("configuration"); },
           [this](const auto& event) { OnStoredConfiguration(event); },
-          [](platform::StoreHealth) {})),
+          [this](platform::StoreHealth health) { OnStoreHealth(health); })),
       registry_follower_(platform::PrefixFollower::Create(
           settings_.registry_prefix,
           {},
           world_.scheduler,
           world_.random,
           world_.store,
+          [this] { return IsWatcher("registry"); },
           [this](const auto& event) { OnStoredClaim(event); },
           [](platform::StoreHealth) {})),
       hedges_(kHedgeQuantile),
@@ -182,7 +194,9 @@
   }
   config::Manifest manifest;
   manifest.revision = read->revision;
+  manifest.publication_id = event.key + "@" + std::to_string(event.revision);
   manifest.content_digest = base::Sha256Hex(*event.value);
+  manifest.summary = "routes";
   configuration_->OnContent(manifest, *event.value);
 }
 
@@ -198,12 +212,54 @@
 
 void ForwardCore::OnFact(const membership::Fact& fact) {
   if (fact.key == kManifestFact) {
-    if (const auto manifest = config::ParseManifest(fact.value))
+    const auto manifest = config::ParseManifest(fact.value);
+    if (manifest)
       configuration_->OnManifest(*manifest);
+    else
+      LogRejected(fact, manifest.error());
+  } else if (fact.key.starts_with(kStoreHealthPrefix)) {
+    OnPeerStoreHealth(fact);
   } else if (fact.key.starts_with(kClaimPrefix)) {
-    if (const auto claim = upstream::ParseClaim(fact.value))
+    const auto claim = upstream::ParseClaim(fact.value);
+    if (claim)
       ApplyClaim(*claim);
+    else
+      LogRejected(fact, claim.error());
+  }
+}
+
+// Told to the peers, so that another node of the zone watches in our place.
+void ForwardCore::OnStoreHealth(platform::StoreHealth health) {
+  uint64_t change = 0;
+  {
+    const std::lock_guard lock(store_mutex_);
+    change = ++store_health_changes_;
+  }
+  const bool is_silent = health == platform::StoreHealth::kSilent;
+  facts_.Offer({std::string(kStoreHealthPrefix) + settings_.self.node_id,
+                {settings_.self.incarnation, change},
+                std::string(is_silent ? kSilentStore : kAnsweringStore)});
+}
+
+void ForwardCore::OnPeerStoreHealth(const membership::Fact& fact) {
+  const std::string node = fact.key.substr(kStoreHealthPrefix.size());
+  const std::lock_guard lock(store_mutex_);
+  if (fact.value == kSilentStore)
+    nodes_without_store_.insert(node);
+  else
+    nodes_without_store_.erase(node);
+}
+
+bool ForwardCore::IsWatcher(const std::string& task) {
+  std::set<std::string> without_store;
+  {
+    const std::lock_guard lock(store_mutex_);
+    without_store = nodes_without_store_;
   }
+  return views_.Current()->IsZoneDelegate(
+      task, kWatchersPerZone, [&](const membership::Member& member) {
+        return !without_store.contains(member.node_id);
+      });
 }
 
 void ForwardCore::ApplyClaim(const upstream::ServerClaim& claim) {
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -7,7 +7,9 @@
 #include <atomic>
 #include <functional>
 #include <memory>
+#include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 
 #include "LibBase/metrics.h"
@@ -119,6 +121,10 @@
   void OnFact(const membership::Fact& fact);
   void ApplyClaim(const upstream::ServerClaim& claim);
   void OnConfiguration(const config::Manifest& manifest);
+  void OnStoreHealth(platform::StoreHealth health);
+  void OnPeerStoreHealth(const membership::Fact& fact);
+  // Whether this node follows the store for its availability zone.
+  bool IsWatcher(const std::string& task);
   void RefreshView();
   void RunHousekeeping();
   int ConnectionsPerNode(const config::Upstream& upstream);
@@ -147,6 +153,11 @@
   query::LeafExecutor leaf_;
   query::ForwardFilterChain filters_;
 
+  std::mutex store_mutex_;
+  // Nodes that the store does not answer; guarded by `store_mutex_`.
+  std::set<std::string> nodes_without_store_;
+  uint64_t store_health_changes_ = 0;  // Of this node; as above.
+
   std::atomic<size_t> running_{0};
   std::atomic<bool> leaving_{false};
 };
--- a/Libraries/LibNode/peer_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -2,6 +2,7 @@
 
 #include "LibNode/peer_links.h"
 
+#include <algorithm>
 #include <utility>
 
 #include "LibBase/log.h"
@@ -198,13 +199,25 @@
       random_(random) {}
 
 void PeerContentSource::Fetch(const std::string& digest, Callback callback) {
-  std::vector<std::string> addresses;
+  std::vector<const membership::Member*> peers;
   const auto view = views_.Current();
   for (const membership::Member& member : view->members()) {
     if (member.node_id != self_ && member.is_usable())
-      addresses.push_back(member.peer_address);
+      peers.push_back(&member);
   }
-  base::KeepSample(addresses, kContentPeers, random_);
+  base::Shuffle(peers, random_);
+  // FetchFrom begins at the end. Content may be large, and bytes between
+  // availability zones cost more.
+  const membership::Member* self = view->FindMember(self_);
+  std::ranges::stable_partition(peers, [&](const auto* peer) {
+    return !self || peer->availability_zone != self->availability_zone;
+  });
+  if (peers.size() > kContentPeers)
+    peers.erase(peers.begin(),
+                peers.end() - static_cast<ptrdiff_t>(kContentPeers));
+  std::vector<std::string> addresses;
+  std::ranges::transform(peers, std::back_inserter(addresses),
+                         &membership::Member::peer_address);
   FetchFrom(std::move(addresses), digest, std::move(callback));
 }
 
--- a/Libraries/LibPlatform/configuration_controller.cc
+++ b/Libraries/LibPlatform/configuration_controller.cc
@@ -69,7 +69,7 @@
 void ConfigurationController::FetchFrom(size_t source,
                                         const config::Manifest& manifest) {
   if (source >= sources_.size()) {
-    GiveUp(manifest, "no source has the content");
+    KeepMissing(manifest);
     return;
   }
   sources_[source]->Fetch(
@@ -127,6 +127,18 @@
     listener(manifest);
 }
 
+// No source has the content yet; peers may be fetching it themselves.
+void ConfigurationController::KeepMissing(const config::Manifest& manifest) {
+  const std::lock_guard lock(mutex_);
+  if (fetching_ == manifest.revision)
+    fetching_ = 0;
+  const bool is_newest = manifest.revision > current_->revision &&
+                         manifest.revision > fetching_ &&
+                         (!missing_ || manifest.revision > missing_->revision);
+  if (is_newest)
+    missing_ = manifest;
+}
+
 void ConfigurationController::GiveUp(const config::Manifest& manifest,
                                      const std::string& reason) {
   {
--- a/Libraries/LibPlatform/configuration_controller.h
+++ b/Libraries/LibPlatform/configuration_controller.h
@@ -72,6 +72,7 @@
   void Install(const config::Manifest& manifest,
                std::string content,
                config::Configuration configuration);
+  void KeepMissing(const config::Manifest& manifest);
   void GiveUp(const config::Manifest& manifest, const std::string& reason);
 
   const std::vector<ContentSource*> sources_;
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -15,11 +15,12 @@
     base::Scheduler& scheduler,
     base::Random& random,
     EntryStore& store,
+    std::function<bool()> is_watcher,
     Listener listener,
     HealthListener health_listener) {
-  return std::shared_ptr<PrefixFollower>(
-      new PrefixFollower(std::move(prefix), rules, scheduler, random, store,
-                         std::move(listener), std::move(health_listener)));
+  return std::shared_ptr<PrefixFollower>(new PrefixFollower(
+      std::move(prefix), rules, scheduler, random, store, std::move(is_watcher),
+      std::move(listener), std::move(health_listener)));
 }
 
 PrefixFollower::PrefixFollower(std::string prefix,
@@ -27,6 +28,7 @@
                                base::Scheduler& scheduler,
                                base::Random& random,
                                EntryStore& store,
+                               std::function<bool()> is_watcher,
                                Listener listener,
                                HealthListener health_listener)
     : prefix_(std::move(prefix)),
@@ -34,6 +36,7 @@
       scheduler_(scheduler),
       random_(random),
       store_(store),
+      is_watcher_(std::move(is_watcher)),
       listener_(std::move(listener)),
       health_listener_(std::move(health_listener)),
       pause_(rules.first_pause) {}
@@ -93,17 +96,33 @@
     }
     revision_ = listing_revision_;
     has_listed_ = true;
+    last_read_ = scheduler_.Now();
   }
   std::ranges::for_each(removed, [this](auto& event) { Apply(event); });
-  Watch();
+  Continue();
 }
 
-void PrefixFollower::Watch() {
-  uint64_t revision = 0;
+void PrefixFollower::Continue() {
+  bool is_list_due = false;
   {
     const std::lock_guard lock(mutex_);
     if (stopped_)
       return;
+    is_list_due = scheduler_.Now() - last_read_ >= rules_.list_period;
+  }
+  if (is_watcher_())
+    Watch();
+  else if (is_list_due)
+    List("");
+  else
+    scheduler_.After(rules_.role_period,
+                     [self = shared_from_this()] { self->Continue(); });
+}
+
+void PrefixFollower::Watch() {
+  uint64_t revision = 0;
+  {
+    const std::lock_guard lock(mutex_);
     revision = revision_;
   }
   store_.Watch(prefix_, revision, rules_.watch_wait,
@@ -127,8 +146,13 @@
   {
     const std::lock_guard lock(mutex_);
     revision_ = std::max(revision_, changes->store_revision);
+    last_read_ = scheduler_.Now();
   }
-  Watch();
+  if (changes->events.empty())
+    Continue();
+  else
+    scheduler_.After(rules_.gathering,
+                     [self = shared_from_this()] { self->Continue(); });
 }
 
 void PrefixFollower::Apply(StoreEvent event) {
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -1,5 +1,7 @@
 // Follows all entries under a prefix of the store: lists them, then watches,
 // resumes after outages, and lists again where the store forgot its history.
+// Only some nodes watch; the others hear from them and list now and then, so
+// that the store's load does not grow with the fleet.
 
 #ifndef LIBPLATFORM_PREFIX_FOLLOWER_H_
 #define LIBPLATFORM_PREFIX_FOLLOWER_H_
@@ -19,7 +21,12 @@
 
 struct FollowerRules {
   // Of one watch. A connection that went silent is noticed after it.
-  base::Duration watch_wait = std::chrono::seconds(3);
+  base::Duration watch_wait = std::chrono::seconds(4);
+  // After changes, so that a series of them makes one call.
+  base::Duration gathering = std::chrono::milliseconds(100);
+  // How often a node that does not watch lists, and reconsiders its role.
+  base::Duration list_period = std::chrono::seconds(20);
+  base::Duration role_period = std::chrono::milliseconds(250);
   // Between calls to a store that does not answer, with jitter.
   base::Duration first_pause = std::chrono::milliseconds(100);
   base::Duration longest_pause = std::chrono::milliseconds(1000);
@@ -37,13 +44,15 @@
   using HealthListener = std::function<void(StoreHealth)>;
 
   // All references outlive the follower.
-  static std::shared_ptr<PrefixFollower> Create(std::string prefix,
-                                                FollowerRules rules,
-                                                base::Scheduler& scheduler,
-                                                base::Random& random,
-                                                EntryStore& store,
-                                                Listener listener,
-                                                HealthListener health_listener);
+  static std::shared_ptr<PrefixFollower> Create(
+      std::string prefix,
+      FollowerRules rules,
+      base::Scheduler& scheduler,
+      base::Random& random,
+      EntryStore& store,
+      std::function<bool()> is_watcher,
+      Listener listener,
+      HealthListener health_listener);
 
   void Start() { List(""); }
   void Stop();
@@ -57,12 +66,14 @@
                  base::Scheduler& scheduler,
                  base::Random& random,
                  EntryStore& store,
+                 std::function<bool()> is_watcher,
                  Listener listener,
                  HealthListener health_listener);
 
   void List(const std::string& after_key);
   void OnPage(const std::string& after_key, base::Result<StorePage> page);
   void FinishListing();
+  void Continue();
   void Watch();
   void OnChanges(base::Result<StoreChanges> changes);
   void Apply(StoreEvent event);
@@ -74,6 +85,7 @@
   base::Scheduler& scheduler_;
   base::Random& random_;
   EntryStore& store_;
+  const std::function<bool()> is_watcher_;
   const Listener listener_;
   const HealthListener health_listener_;
 
@@ -85,6 +97,7 @@
   uint64_t listing_revision_ = 0;  // Of the store at the listing's first page.
   uint64_t revision_ = 0;          // To watch from.
   base::Duration pause_{};
+  base::Instant last_read_;
   bool has_listed_ = false;
   bool stopped_ = false;
 };
--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -116,6 +116,7 @@
   const base::Instant now = scheduler_.Now();
   LeafRequest request;
   request.request_id = context.request->id;
+  request.upstream = route.name;
   request.version = context.configuration->revision;
   request.shard_count = static_cast<uint32_t>(service_count);
   for (uint32_t service = 0; service < service_count; ++service)
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -77,12 +77,11 @@
   if (request_.forward &&
       request_.forward->repeatability == config::Repeatability::kOnce)
     return;
-  for (ServiceRun& run : runs_) {
-    if (run.done)
-      continue;
-    if (const auto delay = dependencies_->hedges.Delay(HedgeKey(run)))
-      run.hedge_due = Now() + *delay;
-  }
+  const auto delay = HedgeDelay();
+  if (!delay)
+    return;
+  for (ServiceRun& run : runs_)
+    run.hedge_due = Now() + *delay;
   ArmHedgeTimer();
 }
 
@@ -197,7 +196,7 @@
       return;
     attempt->open = false;
     outcome = Check(run, call, std::move(outcome));
-    NoteEnd(run, *attempt, outcome);
+    NoteEnd(*attempt, outcome);
     const std::string server = attempt->server;
     if (outcome)
       Accept(run, std::move(*outcome));
@@ -230,15 +229,14 @@
   return outcome;
 }
 
-void LeafExecution::NoteEnd(const ServiceRun& run,
-                            const Attempt& attempt,
+void LeafExecution::NoteEnd(const Attempt& attempt,
                             const ShardOutcome& outcome) {
   const base::Duration elapsed = Now() - attempt.started;
   dependencies_->servers.OnCallEnded(
       attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
       Now());
   if (outcome)
-    dependencies_->hedges.OnAnswer(HedgeKey(run), elapsed);
+    dependencies_->hedges.OnAnswer(request_.upstream, elapsed);
   else if (outcome.error() == ShardFailure::kBroken)
     base::Log(base::Event::kServerProtocolError,
               {{"server", attempt.server}, {"request", request_.request_id}});
@@ -289,9 +287,14 @@
   return (is_idempotent || run.run_state == RunState::kNotRun) && MayStart(run);
 }
 
-const std::string& LeafExecution::HedgeKey(const ServiceRun& run) const {
-  return request_.forward && run.service ? run.service->name
-                                         : request_.upstream;
+// Nothing until enough answers were seen, unless the request has an objective
+// to go by.
+std::optional<base::Duration> LeafExecution::HedgeDelay() const {
+  auto delay = dependencies_->hedges.Delay(request_.upstream);
+  if (!delay && request_.forward && request_.forward->objective.count() > 0)
+    delay = std::chrono::duration_cast<base::Duration>(
+        request_.forward->objective * rules_.blind_hedge_share);
+  return delay;
 }
 
 // Hedges the services still open, unless so many are that the upstream as a
@@ -309,7 +312,7 @@
     run.hedge_due.reset();
     if (!is_upstream_slow)
       Hedge(run);
-    else if (const auto delay = dependencies_->hedges.Delay(HedgeKey(run)))
+    else if (const auto delay = HedgeDelay())
       run.hedge_due = Now() + *delay;
   }
   ArmHedgeTimer();
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -59,16 +59,14 @@
   upstream::ShardOutcome Check(ServiceRun& run,
                                const upstream::ShardCall& call,
                                upstream::ShardOutcome outcome);
-  void NoteEnd(const ServiceRun& run,
-               const Attempt& attempt,
-               const upstream::ShardOutcome& outcome);
+  void NoteEnd(const Attempt& attempt, const upstream::ShardOutcome& outcome);
   void Accept(ServiceRun& run, upstream::ShardReply reply);
   void OnFailure(ServiceRun& run,
                  const std::string& server,
                  upstream::ShardFailure failure);
   bool IsFree(upstream::ShardFailure failure) const;
   bool MayRepeat(const ServiceRun& run) const;
-  const std::string& HedgeKey(const ServiceRun& run) const;
+  std::optional<base::Duration> HedgeDelay() const;
   void OnHedgeDue();
   bool Hedge(ServiceRun& run);
   void OnObjective();
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -32,6 +32,9 @@
   double slow_upstream_share = 0.35;
   // Calls that one service of one request may cause, the first included.
   int max_attempts = 3;
+  // Share of its objective after which a forwarded request is hedged while too
+  // few answers were seen to know its latency.
+  double blind_hedge_share = 0.3;
   // What a call to a server in another availability zone costs, as the time
   // that a caller may wait longer to avoid it.
   base::Duration remote_cost{};
--- a/Libraries/LibRouting/cluster_view.cc
+++ b/Libraries/LibRouting/cluster_view.cc
@@ -66,7 +66,15 @@
 }
 
 bool ClusterView::IsZoneDelegate(const std::string& task, size_t count) const {
-  const auto ranked = RankZone(task);
+  return IsZoneDelegate(task, count, [](const Member&) { return true; });
+}
+
+bool ClusterView::IsZoneDelegate(const std::string& task,
+                                 size_t count,
+                                 const MemberTest& is_able) const {
+  auto ranked = RankZone(task);
+  std::erase_if(ranked,
+                [&](const Member* member) { return !is_able(*member); });
   const auto end =
       ranked.begin() + static_cast<ptrdiff_t>(std::min(count, ranked.size()));
   return std::any_of(ranked.begin(), end, [&](const Member* member) {
--- a/Libraries/LibRouting/cluster_view.h
+++ b/Libraries/LibRouting/cluster_view.h
@@ -4,6 +4,7 @@
 #ifndef LIBROUTING_CLUSTER_VIEW_H_
 #define LIBROUTING_CLUSTER_VIEW_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <string>
@@ -37,6 +38,11 @@
   // Whether this node is among the `count` of its availability zone that do a
   // task for the zone.
   bool IsZoneDelegate(const std::string& task, size_t count) const;
+  // As above, among the members that `is_able` holds for.
+  using MemberTest = std::function<bool(const membership::Member&)>;
+  bool IsZoneDelegate(const std::string& task,
+                      size_t count,
+                      const MemberTest& is_able) const;
   const membership::Member* ZoneDelegate(const std::string& task) const;
   // A usable member of another zone, by rendezvous; null if there is none.
   const membership::Member* RemoteKeeper(const std::string& task) const;
--- /dev/null
+++ b/Tests/Fakes/fake_entry_store.cc
@@ -0,0 +1,98 @@
+// Listing and watching the fake store.
+
+#include "Fakes/fake_entry_store.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fakes {
+
+namespace {
+
+constexpr base::Duration kAnswerTime = std::chrono::milliseconds(4);
+constexpr base::Duration kPollPeriod = std::chrono::milliseconds(5);
+constexpr base::Duration kSilence = std::chrono::milliseconds(1000);
+
+base::Error Unavailable() {
+  return base::Error(base::ErrorKind::kUnavailable, "the store is away",
+                     "wait");
+}
+
+}  // namespace
+
+void FakeEntryState::Put(const std::string& key, const std::string& value) {
+  ++revision;
+  entries[key] = {key, value, revision};
+  history.push_back({key, revision, value});
+}
+
+void FakeEntryState::Remove(const std::string& key) {
+  ++revision;
+  entries.erase(key);
+  history.push_back({key, revision, std::nullopt});
+}
+
+bool FakeEntryStore::IsDown() const {
+  return state_.outage || state_.refused.contains(self_);
+}
+
+void FakeEntryStore::List(const std::string& prefix,
+                          const std::string& after_key,
+                          PageCallback callback) {
+  ++state_.calls;
+  scheduler_.After(IsDown() ? kSilence : kAnswerTime,
+                   [this, prefix, after_key, callback = std::move(callback)] {
+                     if (IsDown()) {
+                       callback(tl::make_unexpected(Unavailable()));
+                       return;
+                     }
+                     platform::StorePage page;
+                     page.store_revision = state_.revision;
+                     for (const auto& [key, entry] : state_.entries) {
+                       if (!key.starts_with(prefix) || key <= after_key)
+                         continue;
+                       page.has_more = page.entries.size() == state_.page_size;
+                       if (page.has_more)
+                         break;
+                       page.entries.push_back(entry);
+                     }
+                     callback(std::move(page));
+                   });
+}
+
+void FakeEntryStore::Watch(const std::string& prefix,
+                           uint64_t revision,
+                           base::Duration wait,
+                           ChangesCallback callback) {
+  ++state_.calls;
+  Poll(prefix, revision, scheduler_.Now() + wait, std::move(callback));
+}
+
+void FakeEntryStore::Poll(const std::string& prefix,
+                          uint64_t revision,
+                          base::Instant end,
+                          ChangesCallback callback) {
+  scheduler_.After(kPollPeriod, [this, prefix, revision, end,
+                                 callback = std::move(callback)]() mutable {
+    if (IsDown()) {
+      callback(tl::make_unexpected(Unavailable()));
+      return;
+    }
+    platform::StoreChanges changes;
+    changes.store_revision = state_.revision;
+    changes.is_history_lost = revision < state_.forgotten;
+    std::ranges::copy_if(state_.history, std::back_inserter(changes.events),
+                         [&](const platform::StoreEvent& event) {
+                           return event.revision > revision &&
+                                  event.key.starts_with(prefix);
+                         });
+    const bool is_due = changes.is_history_lost || !changes.events.empty() ||
+                        scheduler_.Now() >= end;
+    if (is_due)
+      callback(std::move(changes));
+    else
+      Poll(prefix, revision, end, std::move(callback));
+  });
+}
+
+}  // namespace fakes
--- /dev/null
+++ b/Tests/Fakes/forward_tier.cc
@@ -0,0 +1,223 @@
+// Forwarding nodes over fakes.
+
+#include "Fakes/forward_tier.h"
+
+#include <sstream>
+#include <utility>
+
+namespace fakes {
+
+namespace {
+
+constexpr int kNodeCountForSeeds = 3;
+constexpr char kConfigurationPrefix[] = "configuration";
+constexpr char kServersPrefix[] = "servers/";
+constexpr base::Duration kLongDeadline = std::chrono::milliseconds(400);
+constexpr base::Duration kObjective = std::chrono::milliseconds(80);
+
+std::string PeerAddress(int node) {
+  return "10.0.0." + std::to_string(node + 1) + ":1";
+}
+
+config::Route MakeRoute(const std::string& name, const std::string& prefix) {
+  config::Route route;
+  route.name = name;
+  route.host = "host";
+  route.prefix = prefix;
+  route.timeout = kLongDeadline;
+  route.objective = kObjective;
+  route.max_attempts = 2;
+  return route;
+}
+
+base::Result<upstream::ServerClaim> ReadClaim(
+    const platform::StoreEvent& event) {
+  if (event.value)
+    return upstream::ParseClaim(*event.value).map([&](auto claim) {
+      claim.revision = event.revision;
+      return claim;
+    });
+  return upstream::ServerClaim{
+      event.key.substr(std::string(kServersPrefix).size()), event.revision,
+      std::nullopt};
+}
+
+}  // namespace
+
+upstream::CallId ForwardTransport::Start(const upstream::ServerTarget& target,
+                                         const upstream::ShardCall& call,
+                                         base::Duration timeout,
+                                         upstream::ShardCallback callback) {
+  const ServerScript script = scripts_[target.instance];
+  const upstream::CallId id{next_id_++};
+  log_.emplace_back(target.instance, call.request_id);
+  if (script.is_dark || script.work > timeout) {
+    scheduler_.After(timeout, [callback] {
+      callback(tl::make_unexpected(upstream::ShardFailure::kTimeout));
+    });
+    return id;
+  }
+  scheduler_.After(script.work, [script, call, target, callback] {
+    if (script.failure) {
+      callback(tl::make_unexpected(*script.failure));
+      return;
+    }
+    auto forwarded = std::make_shared<upstream::ForwardedReply>();
+    forwarded->signature = target.instance + "." + call.request_id;
+    forwarded->message.body = std::string(16, target.instance.front());
+    upstream::ShardReply reply;
+    reply.request_id = call.request_id;
+    reply.attempt = call.attempt;
+    reply.version = call.version;
+    reply.shard_count = call.shard_count;
+    reply.forwarded = std::move(forwarded);
+    callback(std::move(reply));
+  });
+  return id;
+}
+
+void ForwardTransport::Cancel(upstream::CallId) {
+  ++cancelled_;
+}
+
+struct ForwardTier::Process {
+  Process(ForwardTier& tier, int node)
+      : scheduler(tier.clock_),
+        random(static_cast<uint64_t>(node) + 1),
+        caller(tier.wires_, PeerAddress(node), scheduler),
+        store(tier.store_, NodeName(node), scheduler),
+        transport(tier.scripts_, tier.log_, scheduler) {}
+
+  ProcessScheduler scheduler;
+  base::SeededRandom random;
+  FakeCaller caller;
+  FakeEntryStore store;
+  ForwardTransport transport;
+  std::unique_ptr<node::ForwardCore> core;
+};
+
+ForwardTier::ForwardTier(int nodes) : wires_(clock_) {
+  for (int node = 0; node < nodes; ++node)
+    processes_.push_back(MakeProcess(node));
+}
+
+ForwardTier::~ForwardTier() = default;
+
+std::unique_ptr<ForwardTier::Process> ForwardTier::MakeProcess(int node) {
+  auto process = std::make_unique<Process>(*this, node);
+  node::ForwardSettings settings;
+  settings.self.node_id = NodeName(node);
+  settings.self.availability_zone = node % 2 == 0 ? "a" : "b";
+  settings.self.caller_address = "10.0.0." + std::to_string(node + 1) + ":80";
+  settings.self.peer_address = PeerAddress(node);
+  settings.self.incarnation = next_incarnation_++;
+  for (int seed = 0; seed < kNodeCountForSeeds; ++seed)
+    settings.peer_seeds.push_back(PeerAddress(seed));
+  settings.gossip_period = std::chrono::milliseconds(200);
+  settings.extra_load_share = 0.2;
+  settings.extra_load = {std::chrono::seconds(10), 56};
+  settings.configuration_prefix = kConfigurationPrefix;
+  settings.registry_prefix = kServersPrefix;
+  process->core = std::make_unique<node::ForwardCore>(
+      settings,
+      node::ForwardReaders{
+          [this](std::string_view text) { return ReadConfiguration(text); },
+          ReadClaim},
+      node::ForwardSurroundings{process->scheduler, process->random,
+                                process->transport, process->store,
+                                process->caller, [](const auto&) {}});
+  wires_.Listen(PeerAddress(node), {&process->scheduler, process->core.get()});
+  process->core->Start();
+  return process;
+}
+
+// The text is the version and the number of services.
+base::Result<config::Configuration> ForwardTier::ReadConfiguration(
+    std::string_view text) const {
+  std::istringstream stream{std::string(text)};
+  config::Configuration configuration;
+  int services = 0;
+  stream >> configuration.revision >> services;
+  if (!stream)
+    return base::Fail(base::ErrorKind::kInvalidInput, "not a configuration",
+                      "write a version and a number of services");
+  auto table = std::make_shared<config::RouteTable>();
+  config::Route all = MakeRoute("all", "/all/");
+  all.repeatability = config::Repeatability::kIdempotent;
+  all.gather = config::GatherTerms{{}, 5, 0.75};
+  for (int service = 0; service < services; ++service) {
+    const std::string name = "s" + std::to_string(service);
+    all.gather->services.push_back(name);
+    table->services[name] = {26, "/health"};
+  }
+  config::Route one = MakeRoute("one", "/one/");
+  one.services = {{"s0", 1}};
+  one.repeatability = repeatability;
+  table->routes = {all, one};
+  configuration.routes = std::move(table);
+  return configuration;
+}
+
+void ForwardTier::PutConfiguration(uint64_t version, int services) {
+  store_.Put(kConfigurationPrefix,
+             std::to_string(version) + " " + std::to_string(services));
+}
+
+void ForwardTier::PutServer(const std::string& instance,
+                            const std::string& service,
+                            upstream::ServerPhase phase) {
+  upstream::RegisteredServer server;
+  server.instance = instance;
+  server.service = service;
+  server.address = "10.1.0.1:" + std::to_string(1000 + scripts_.size());
+  server.availability_zone = "a";
+  server.slots = 2;
+  server.phase = phase;
+  server.incarnation = 1;
+  server.sequence = ++sequences_[instance];
+  scripts_.try_emplace(instance);
+  store_.Put(kServersPrefix + instance,
+             upstream::SerializeClaim({instance, 0, server}));
+}
+
+void ForwardTier::RemoveServer(const std::string& instance) {
+  store_.Remove(kServersPrefix + instance);
+}
+
+std::optional<query::ForwardAnswer> ForwardTier::Ask(int node,
+                                                     const std::string& target,
+                                                     base::Duration time) {
+  auto request = std::make_shared<upstream::ForwardedRequest>();
+  request->id = "r" + std::to_string(next_request_++);
+  request->host = "host";
+  request->message.method = "GET";
+  request->message.target = target;
+  auto context = std::make_shared<query::ForwardContext>();
+  context->request = request;
+  context->arrival = clock_.Now();
+  context->time_allowed = kLongDeadline;
+  auto answer = std::make_shared<std::optional<query::ForwardAnswer>>();
+  context->respond = [answer](query::ForwardAnswer given) {
+    *answer = std::move(given);
+  };
+  core(node).Handle(std::move(context));
+  RunFor(time);
+  return *answer;
+}
+
+void ForwardTier::Restart(int node) {
+  auto& process = processes_[static_cast<size_t>(node)];
+  process->scheduler.Kill();
+  ended_.push_back(std::move(process));
+  process = MakeProcess(node);
+}
+
+node::ForwardCore& ForwardTier::core(int node) {
+  return *processes_[static_cast<size_t>(node)]->core;
+}
+
+ForwardTransport& ForwardTier::transport(int node) {
+  return processes_[static_cast<size_t>(node)]->transport;
+}
+
+}  // namespace fakes
--- /dev/null
+++ b/Tests/LibPlatform/configuration_controller_test.cc
@@ -0,0 +1,68 @@
+// Content that no source has yet when it is wanted.
+
+#include "LibPlatform/configuration_controller.h"
+
+#include <doctest/doctest.h>
+
+#include "LibBase/digest.h"
+#include "LibBase/log.h"
+
+namespace platform {
+namespace {
+
+class LateSource final : public ContentSource {
+ public:
+  void Fetch(const std::string&, Callback callback) override {
+    ++asked;
+    if (content.empty())
+      callback(base::Fail(base::ErrorKind::kNotFound, "not here", "ask again"));
+    else
+      callback(content);
+  }
+
+  std::string content;
+  int asked = 0;
+};
+
+config::ParsedConfiguration ParseAny(std::string_view, uint64_t revision) {
+  config::ParsedConfiguration parsed;
+  parsed.configuration.revision = revision;
+  return parsed;
+}
+
+config::Manifest MakeManifest(uint64_t revision, const std::string& content) {
+  config::Manifest manifest;
+  manifest.revision = revision;
+  manifest.content_digest = base::Sha256Hex(content);
+  return manifest;
+}
+
+TEST_CASE("content that was missing is fetched again") {
+  base::DisableLog();
+  LateSource source;
+  const auto controller = ConfigurationController::Create({&source}, ParseAny);
+  controller->OnManifest(MakeManifest(7, "text"));
+  CHECK(controller->Current()->revision == 0);
+  controller->RetryIfMissing();
+  CHECK(source.asked == 2);
+  source.content = "text";
+  controller->RetryIfMissing();
+  CHECK(controller->Current()->revision == 7);
+  controller->RetryIfMissing();
+  CHECK(source.asked == 3);
+}
+
+TEST_CASE("a lower revision never takes effect") {
+  base::DisableLog();
+  LateSource source;
+  const auto controller = ConfigurationController::Create({&source}, ParseAny);
+  controller->OnContent(MakeManifest(7, "new"), "new");
+  source.content = "old";
+  controller->OnManifest(MakeManifest(6, "old"));
+  controller->OnContent(MakeManifest(6, "old"), "old");
+  CHECK(controller->Current()->revision == 7);
+  CHECK(source.asked == 0);
+}
+
+}  // namespace
+}  // namespace platform
