LibNode: Send callers to zones that have servers

Change: address answers leave out zones with servers of fewer than half of the services, while six tenths of the nodes stay.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -8,6 +8,7 @@
 
 #include "LibBase/digest.h"
 #include "LibBase/log.h"
+#include "LibBase/sampling.h"
 
 namespace node {
 
@@ -25,6 +26,10 @@
 constexpr size_t kWatchersPerZone = 1;
 // Of a service's latency; the rest are stragglers.
 constexpr double kHedgeQuantile = 0.95;
+// Of the services that the best zone has servers of: below it a zone is far.
+constexpr double kNearServiceShare = 0.5;
+// Of the nodes: callers are not crowded onto fewer.
+constexpr double kLeastNodeShare = 0.6;
 constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(100);
 // Nodes that a server's connections are split among, at least: holders under
 // an old view and under a new one stay within the limit together.
@@ -316,19 +321,37 @@
   membership_->AnnounceLeaving();
 }
 
-std::vector<std::string> ForwardCore::CallerAddresses(const std::string& zone,
-                                                      size_t count) {
+// Nodes whose availability zone has servers of few services would fetch nearly
+// all answers from other zones: callers are sent to the others while these are
+// enough.
+std::vector<std::string> ForwardCore::CallerAddresses(size_t count) {
   const auto view = views_.Current();
-  std::vector<std::string> near;
-  std::vector<std::string> far;
+  const auto services = registry_.ServicesByZone();
+  size_t most = 0;
+  for (const auto& [zone, present] : services)
+    most = std::max(most, present);
+  std::vector<const membership::Member*> alive;
   for (const membership::Member& member : view->members()) {
     if (member.state == membership::MemberState::kAlive)
-      (member.availability_zone == zone ? near : far)
-          .push_back(member.caller_address);
+      alive.push_back(&member);
   }
-  std::ranges::copy(far, std::back_inserter(near));
-  near.resize(std::min(near.size(), count));
-  return near;
+  const auto is_near = [&](const membership::Member* member) {
+    const auto found = services.find(member->availability_zone);
+    return found != services.end() &&
+           static_cast<double>(found->second) >=
+               kNearServiceShare * static_cast<double>(most);
+  };
+  const auto far = std::ranges::stable_partition(alive, is_near);
+  const size_t near = alive.size() - far.size();
+  if (static_cast<double>(near) >=
+      kLeastNodeShare * static_cast<double>(alive.size()))
+    alive.resize(near);
+  base::Shuffle(alive, world_.random);
+  alive.resize(std::min(alive.size(), count));
+  std::vector<std::string> addresses;
+  std::ranges::transform(alive, std::back_inserter(addresses),
+                         &membership::Member::caller_address);
+  return addresses;
 }
 
 std::string ForwardCore::StateText() {
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -88,9 +88,8 @@
   void AnnounceLeaving();
   size_t running() const { return running_; }
 
-  // Addresses of nodes that take callers, those of `zone` first.
-  std::vector<std::string> CallerAddresses(const std::string& zone,
-                                           size_t count);
+  // Addresses of nodes that callers may use, in a random order.
+  std::vector<std::string> CallerAddresses(size_t count);
 
   // JSON for operators.
   std::string StateText();
--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
+#include <set>
+#include <utility>
 
 namespace upstream {
 
@@ -91,6 +93,19 @@
   return servers;
 }
 
+std::map<std::string, size_t> ServerRegistry::ServicesByZone() const {
+  const std::lock_guard lock(mutex_);
+  std::set<std::pair<std::string, std::string>> present;
+  for (const auto& [instance, entry] : entries_) {
+    if (entry.takes_work())
+      present.emplace(entry.server.availability_zone, entry.server.service);
+  }
+  std::map<std::string, size_t> counts;
+  for (const auto& [zone, service] : present)
+    ++counts[zone];
+  return counts;
+}
+
 int ServerRegistry::SlotsOf(const std::string& service) const {
   const std::lock_guard lock(mutex_);
   const auto found = std::ranges::find_if(entries_, [&](const auto& item) {
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -59,6 +59,8 @@
 
   // Servers of the service that take work.
   std::vector<config::Server> ServersOf(const std::string& service) const;
+  // How many services have a server that takes work, by availability zone.
+  std::map<std::string, size_t> ServicesByZone() const;
   // The slots of a server of the service; 1 if there is none.
   int SlotsOf(const std::string& service) const;
   std::optional<RegisteredServer> Find(const std::string& instance) const;
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -152,6 +152,18 @@
   CHECK(whole >= 18);
 }
 
+TEST_CASE("callers are sent to zones that have servers") {
+  // All servers are in zone a, half of the nodes in b: too many to leave out.
+  CHECK(MakeTier()->core(1).CallerAddresses(64).size() == kNodes);
+  base::DisableLog();
+  ForwardTier tier(5);
+  tier.PutConfiguration(3, 1);
+  tier.PutServer("xs0", "s0");
+  tier.RunFor(seconds(5));
+  CHECK(tier.core(1).CallerAddresses(64).size() == 3);
+  CHECK(tier.core(1).CallerAddresses(2).size() == 2);
+}
+
 TEST_CASE("one node of each availability zone watches the store") {
   const auto tier = MakeTier();
   const uint64_t before = tier->store().calls;
