LibQuery: Explain forwarded requests by their log lines

Cause: a request that failed left no trace of its route, servers and reasons, and the log was written by the thread that served. Change: every attempt is recorded with what its choice went by; requests that end badly, late or partly, and one in 500 others, write one line (20 lines a second a node at most, the rest counted); lines go to standard output through a bounded queue whose drops are counted; metrics by route and outcome, sub-requests by kind, gauges; `celerycroft explain ID [LOG...]` prints the timeline.

--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -4,18 +4,29 @@
 
 #include <algorithm>
 #include <array>
+#include <atomic>
+#include <boost/core/null_deleter.hpp>
 #include <boost/log/core.hpp>
+#include <boost/log/sinks/async_frontend.hpp>
+#include <boost/log/sinks/bounded_fifo_queue.hpp>
+#include <boost/log/sinks/text_ostream_backend.hpp>
 #include <boost/log/sources/logger.hpp>
 #include <boost/log/sources/record_ostream.hpp>
-#include <boost/log/utility/setup/console.hpp>
+#include <boost/make_shared.hpp>
 #include <chrono>
+#include <future>
 #include <iostream>
 #include <nlohmann/json.hpp>
+#include <thread>
 
 namespace base {
 
 namespace {
 
+// About a second of a node's lines at most.
+constexpr size_t kQueuedLines = 1000;
+constexpr std::chrono::milliseconds kFlushLimit{200};
+
 constexpr std::array kCatalogue = std::to_array<EventDescription>({
     {Event::kNodeStarted, Severity::kInfo, "node_started",
      "The node listens on its addresses."},
@@ -30,6 +41,8 @@
     {Event::kSettingsReload, Severity::kInfo, "settings_reload",
      "The settings file was announced as changed; it holds from the next "
      "start."},
+    {Event::kLogLinesDropped, Severity::kWarning, "log_lines_dropped",
+     "The reader of the log was too slow for the lines."},
     {Event::kConfigurationInForce, Severity::kInfo, "configuration_in_force",
      "A higher revision took effect."},
     {Event::kConfigurationRejected, Severity::kError, "configuration_rejected",
@@ -64,6 +77,8 @@
      "Usage counters were stored."},
     {Event::kUsageWriteFailed, Severity::kWarning, "usage_write_failed",
      "Usage counters wait for the key-value service."},
+    {Event::kRequestEnded, Severity::kInfo, "request_ended",
+     "A forwarded request ended badly, late or partly, or was sampled."},
 });
 
 std::string& ProcessName() {
@@ -88,25 +103,35 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
 }
 
-}  // namespace
-
-std::span<const EventDescription> EventCatalogue() {
-  return kCatalogue;
+std::atomic<uint64_t>& Dropped() {
+  static std::atomic<uint64_t> dropped{0};
+  return dropped;
 }
 
-void InitializeLog(std::string process_name) {
-  ProcessName() = std::move(process_name);
-  boost::log::add_console_log(std::clog,
-                              boost::log::keywords::auto_flush = true);
-}
+// Drops the newest line of a full queue, so that a stalled reader stalls
+// nothing else.
+class CountingDrop {
+ protected:
+  template <typename Lock>
+  static bool on_overflow(const boost::log::record_view&, Lock&) {
+    ++Dropped();
+    return false;
+  }
+  static void on_queue_space_available() {}
+  static void interrupt() {}
+};
 
-void DisableLog() {
-  boost::log::core::get()->set_logging_enabled(false);
+namespace sinks = boost::log::sinks;
+using QueuedSink = sinks::asynchronous_sink<
+    sinks::text_ostream_backend,
+    sinks::bounded_fifo_queue<kQueuedLines, CountingDrop>>;
+
+boost::shared_ptr<QueuedSink>& CurrentSink() {
+  static boost::shared_ptr<QueuedSink> sink;
+  return sink;
 }
 
-void Log(Event event, std::initializer_list<LogField> fields) {
-  if (!boost::log::core::get()->get_logging_enabled())
-    return;
+void Write(Event event, std::span<const LogField> fields) {
   const auto description =
       std::ranges::find(kCatalogue, event, &EventDescription::event);
   nlohmann::ordered_json line = {
@@ -123,4 +148,63 @@
       -1, ' ', false, nlohmann::ordered_json::error_handler_t::replace);
 }
 
+// Tells once for each series of dropped lines, when lines are written again.
+void ReportDropped() {
+  static std::atomic<uint64_t> reported{0};
+  const uint64_t dropped = Dropped();
+  uint64_t before = reported.load();
+  if (dropped == before || !reported.compare_exchange_strong(before, dropped))
+    return;
+  const std::array<LogField, 1> fields = {
+      LogField{"lines", std::to_string(dropped - before)}};
+  Write(Event::kLogLinesDropped, fields);
+}
+
+}  // namespace
+
+std::span<const EventDescription> EventCatalogue() {
+  return kCatalogue;
+}
+
+void InitializeLog(std::string process_name) {
+  ProcessName() = std::move(process_name);
+  auto backend = boost::make_shared<sinks::text_ostream_backend>();
+  backend->add_stream(
+      boost::shared_ptr<std::ostream>(&std::cout, boost::null_deleter()));
+  backend->auto_flush(true);
+  CurrentSink() = boost::make_shared<QueuedSink>(backend);
+  boost::log::core::get()->add_sink(CurrentSink());
+}
+
+void FlushLog() {
+  if (!CurrentSink())
+    return;
+  // NOTE: A flush without a limit would wait for a reader that has stalled.
+  auto done = std::make_shared<std::promise<void>>();
+  std::thread([sink = CurrentSink(), done] {
+    sink->flush();
+    done->set_value();
+  }).detach();
+  done->get_future().wait_for(kFlushLimit);
+}
+
+uint64_t DroppedLogLines() {
+  return Dropped();
+}
+
+void DisableLog() {
+  boost::log::core::get()->set_logging_enabled(false);
+}
+
+void Log(Event event, std::initializer_list<LogField> fields) {
+  Log(event, std::span<const LogField>(fields.begin(), fields.size()));
+}
+
+void Log(Event event, std::span<const LogField> fields) {
+  if (!boost::log::core::get()->get_logging_enabled())
+    return;
+  ReportDropped();
+  Write(event, fields);
+}
+
 }  // namespace base
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -21,6 +21,7 @@
   kListenFailed = 103,
   kPauseDetected = 104,
   kSettingsReload = 105,
+  kLogLinesDropped = 106,
   kConfigurationInForce = 200,
   kConfigurationRejected = 201,
   kStoreUnavailable = 202,
@@ -38,6 +39,7 @@
   kBookingUnknown = 500,
   kUsageWritten = 600,
   kUsageWriteFailed = 601,
+  kRequestEnded = 700,
 };
 
 struct EventDescription {
@@ -54,12 +56,20 @@
   std::string value;
 };
 
-// Writes one line to standard error: time, event number, name, fields.
+// Writes one line to standard output: time, event number, name, fields. Never
+// waits for the reader: lines beyond a bounded queue are dropped and counted.
 void Log(Event event, std::initializer_list<LogField> fields = {});
+void Log(Event event, std::span<const LogField> fields);
 
 // Adds the process's name to each line. Call once, before other threads start.
 void InitializeLog(std::string process_name);
 
+// Writes what is queued, unless the reader takes nothing for a while.
+void FlushLog();
+
+// Lines that were dropped since the start.
+uint64_t DroppedLogLines();
+
 // Drops all events; for tests and benchmarks.
 void DisableLog();
 
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -9,6 +9,7 @@
 #include "LibBase/digest.h"
 #include "LibBase/log.h"
 #include "LibBase/sampling.h"
+#include "LibQuery/forward_log.h"
 
 namespace node {
 
@@ -153,6 +154,9 @@
 
 query::ForwardFilterChain ForwardCore::MakeFilters() {
   query::ForwardFilterChain::Filters filters;
+  filters.push_back(std::make_unique<query::ForwardLogFilter>(
+      world_.scheduler, metrics_,
+      [this] { return world_.scheduler.Now() - configuration_since_.load(); }));
   filters.push_back(std::make_unique<query::ConfiguredFilter>(
       [this] { return configuration_->Current(); }));
   filters.push_back(std::make_unique<query::RouteFilter>());
@@ -280,6 +284,7 @@
 }
 
 void ForwardCore::OnConfiguration(const config::Manifest& manifest) {
+  configuration_since_ = world_.scheduler.Now();
   RefreshView();
   facts_.Offer(ToFact(manifest));
   world_.on_configuration(configuration_->Current());
@@ -341,8 +346,8 @@
            static_cast<double>(found->second) >=
                kNearServiceShare * static_cast<double>(most);
   };
-  const auto far = std::ranges::stable_partition(alive, is_near);
-  const size_t near = alive.size() - far.size();
+  const auto far = std::stable_partition(alive.begin(), alive.end(), is_near);
+  const auto near = static_cast<size_t>(far - alive.begin());
   if (static_cast<double>(near) >=
       kLeastNodeShare * static_cast<double>(alive.size()))
     alive.resize(near);
@@ -354,6 +359,18 @@
   return addresses;
 }
 
+std::string ForwardCore::MetricsText() {
+  const auto gauge = [](std::string_view name, uint64_t value) {
+    return std::string(name) + " " + std::to_string(value) + "\n";
+  };
+  return metrics_.ToPrometheusText() +
+         gauge("celerycroft_configuration_revision",
+               configuration_->Current()->revision) +
+         gauge("celerycroft_running_requests", running_) +
+         gauge("celerycroft_usable_nodes", NodeCount()) +
+         gauge("celerycroft_log_lines_dropped_total", base::DroppedLogLines());
+}
+
 std::string ForwardCore::StateText() {
   json members = json::array();
   for (const membership::Member& member : views_.Current()->members())
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -93,7 +93,8 @@
 
   // JSON for operators.
   std::string StateText();
-  std::string MetricsText() { return metrics_.ToPrometheusText(); }
+  // In Prometheus text form.
+  std::string MetricsText();
 
   // peer::Handler:
   void ExecuteLeaf(query::LeafRequest request,
@@ -157,6 +158,7 @@
   std::set<std::string> nodes_without_store_;
   uint64_t store_health_changes_ = 0;  // Of this node; as above.
 
+  std::atomic<base::Instant> configuration_since_{};
   std::atomic<size_t> running_{0};
   std::atomic<bool> leaving_{false};
 };
--- a/Libraries/LibNode/peer_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -209,7 +209,7 @@
   // FetchFrom begins at the end. Content may be large, and bytes between
   // availability zones cost more.
   const membership::Member* self = view->FindMember(self_);
-  std::ranges::stable_partition(peers, [&](const auto* peer) {
+  std::stable_partition(peers.begin(), peers.end(), [&](const auto* peer) {
     return !self || peer->availability_zone != self->availability_zone;
   });
   if (peers.size() > kContentPeers)
--- a/Libraries/LibQuery/forward_context.h
+++ b/Libraries/LibQuery/forward_context.h
@@ -67,7 +67,10 @@
   config::ConfigurationPtr configuration;
   const config::Route* route = nullptr;  // Of `configuration`.
   base::Instant deadline;
-  LoadCount load;  // What was sent; known when the request ends.
+  // What was sent; known when the request ends.
+  LoadCount load;
+  std::vector<AttemptRecord> attempts;
+  std::vector<MissingShard> missing;
 
   void Refuse(ForwardOutcome outcome,
               base::ErrorKind kind,
--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -143,6 +143,8 @@
       upstreams_.For(context->configuration, services),
       MakeRequest(*context, services.size()), [context](LeafAnswer answer) {
         context->load = answer.load;
+        context->attempts = std::move(answer.attempts);
+        context->missing = answer.missing;
         context->respond(ToForwardAnswer(*context->route, std::move(answer)));
       });
   if (context->cancellation)
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -27,7 +27,8 @@
       upstream_(std::move(upstream)),
       request_(std::move(request)),
       callback_(std::move(callback)),
-      deadline_(dependencies_->scheduler.Now() + request_.time_left) {}
+      started_(dependencies_->scheduler.Now()),
+      deadline_(started_ + request_.time_left) {}
 
 void LeafExecution::Start() {
   Completion completion;
@@ -141,8 +142,9 @@
   const Candidates candidates = CandidatesOf(run);
   if (candidates.servers.empty())
     return false;
-  const config::Server& chosen =
-      *candidates.servers[ChooseReplica(candidates.views)];
+  const size_t choice = ChooseReplica(candidates.views);
+  const config::Server& chosen = *candidates.servers[choice];
+  const ServerView& view = candidates.views[choice];
   Count(kind);
   Attempt attempt{next_attempt_++, chosen.identity(), upstream::CallId::kNone,
                   Now()};
@@ -157,6 +159,7 @@
   const upstream::ServerTarget target{
       chosen.address, dependencies_->connections_per_node(*upstream_),
       chosen.instance};
+  Record(run, attempt, kind, view, candidates.servers.size());
   dependencies_->servers.OnCallStarted(attempt.server, Now());
   const size_t run_index = static_cast<size_t>(&run - runs_.data());
   attempt.call = dependencies_->transport.Start(
@@ -168,6 +171,35 @@
   return true;
 }
 
+void LeafExecution::Record(const ServiceRun& run,
+                           const Attempt& attempt,
+                           AttemptKind kind,
+                           const ServerView& view,
+                           size_t candidates) {
+  if (!request_.forward)
+    return;
+  AttemptRecord record;
+  record.service = run.service->name;
+  record.server = attempt.server;
+  record.kind = kind;
+  record.started = Now() - started_;
+  record.outstanding = view.outstanding;
+  record.expected_latency = view.latency;
+  record.silence = view.silence;
+  record.failure_share = view.failure_share;
+  record.candidates = candidates;
+  answer_.attempts.push_back(std::move(record));
+}
+
+void LeafExecution::RecordEnd(const Attempt& attempt, std::string result) {
+  if (!request_.forward)
+    return;
+  // Attempts are numbered from 1 in the order in which they began.
+  AttemptRecord& record = answer_.attempts[attempt.number - 1];
+  record.took = Now() - attempt.started;
+  record.result = std::move(result);
+}
+
 void LeafExecution::Count(AttemptKind kind) {
   switch (kind) {
     case AttemptKind::kPrimary:
@@ -232,6 +264,9 @@
 void LeafExecution::NoteEnd(const Attempt& attempt,
                             const ShardOutcome& outcome) {
   const base::Duration elapsed = Now() - attempt.started;
+  RecordEnd(attempt,
+            outcome ? "answered"
+                    : std::string(upstream::ShardFailureName(outcome.error())));
   dependencies_->servers.OnCallEnded(
       attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
       Now());
@@ -365,6 +400,7 @@
     if (!attempt.open)
       continue;
     attempt.open = false;
+    RecordEnd(attempt, "abandoned");
     dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
                                        Now() - attempt.started, Now());
     dependencies_->transport.Cancel(attempt.call);
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -52,6 +52,12 @@
   size_t ChooseReplica(const std::vector<upstream::ServerView>& candidates);
   bool MayStart(const ServiceRun& run) const;
   bool StartAttempt(ServiceRun& run, AttemptKind kind);
+  void Record(const ServiceRun& run,
+              const Attempt& attempt,
+              AttemptKind kind,
+              const upstream::ServerView& view,
+              size_t candidates);
+  void RecordEnd(const Attempt& attempt, std::string result);
   void Count(AttemptKind kind);
   void OnOutcome(size_t run_index,
                  const upstream::ShardCall& call,
@@ -87,6 +93,7 @@
   std::mutex mutex_;
   // All below guarded by `mutex_`.
   LeafCallback callback_;  // Empty once called.
+  const base::Instant started_;
   const base::Instant deadline_;
   std::vector<ServiceRun> runs_;  // Never resized after PrepareRuns.
   size_t open_runs_ = 0;          // Runs that are not done.
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -95,6 +95,26 @@
   bool operator==(const ForwardedPart&) const = default;
 };
 
+enum class AttemptKind : uint8_t { kPrimary, kHedge, kRetry };
+
+// What became of one attempt at a forwarded request, for the log.
+struct AttemptRecord {
+  std::string service;
+  std::string server;  // As config::Server::identity.
+  AttemptKind kind = AttemptKind::kPrimary;
+  base::Duration started{};  // Since the leaf request began.
+  std::optional<base::Duration> took = std::nullopt;  // Nothing while open.
+  std::string result = "abandoned";
+  // What the choice of the server went by.
+  int outstanding = 0;
+  base::Duration expected_latency{};
+  base::Duration silence{};
+  double failure_share = 0;
+  size_t candidates = 0;
+
+  bool operator==(const AttemptRecord&) const = default;
+};
+
 // Whether a server may have run a forwarded request that failed.
 enum class RunState : uint8_t { kNotRun, kMayHaveRun };
 
@@ -110,6 +130,7 @@
   // The last answer of a server that ran the request and failed, if any.
   upstream::ForwardedReplyPtr failure = nullptr;
   RunState run_state = RunState::kNotRun;
+  std::vector<AttemptRecord> attempts = {};
 
   bool operator==(const LeafAnswer&) const = default;
 };
--- a/Libraries/LibQuery/service_run.h
+++ b/Libraries/LibQuery/service_run.h
@@ -15,8 +15,6 @@
 
 namespace query {
 
-enum class AttemptKind { kPrimary, kHedge, kRetry };
-
 struct Attempt {
   uint32_t number = 0;
   std::string server;  // As config::Server::identity.
--- a/Meta/example.sh
+++ b/Meta/example.sh
@@ -43,9 +43,9 @@
 trap stop_all EXIT
 
 "$stand_ins" serve "$example/agreements" "$store" "$hosts" "$control" \
-  2>"$logs/stand-ins" & pids+=($!)
+  >"$logs/stand-ins" 2>&1 & pids+=($!)
 for settings in "$example"/nodes/*.json; do
-  "$bin" node --settings "$settings" 2>"$logs/$(basename "$settings")" &
+  "$bin" node --settings "$settings" >"$logs/$(basename "$settings")" 2>&1 &
   pids+=($!)
 done
 
--- a/Services/celerycroft/command_line.cc
+++ b/Services/celerycroft/command_line.cc
@@ -78,6 +78,9 @@
     {"dump", "dump --operator IP:PORT", "Shows a node's whole state."},
     {"reckon", "reckon YYYY-MM --store IP:PORT [--csv]",
      "Shows who took what in a month, and who took more than agreed."},
+    {"explain", "explain ID [LOG...]",
+     "Shows what the logs of all processes say of a request, and what these "
+     "processes came to believe around it. Reads standard input without LOG."},
     {"front", "front [--settings FILE]",
      "Runs a forwarding node on the platform; the file is that of the variable "
      "CELERYCROFT_SETTINGS unless given."},
--- a/Services/celerycroft/commands.h
+++ b/Services/celerycroft/commands.h
@@ -21,6 +21,7 @@
 int RunStatus(const CommandLine& line);
 int RunDump(const CommandLine& line);
 int RunReckon(const CommandLine& line);
+int RunExplain(const CommandLine& line);
 
 // Only with the adapter to the platform.
 int RunFront(const CommandLine& line);
--- a/Services/celerycroft/main.cc
+++ b/Services/celerycroft/main.cc
@@ -27,6 +27,7 @@
     {"status", RunStatus},
     {"dump", RunDump},
     {"reckon", RunReckon},
+    {"explain", RunExplain},
 #ifdef CELERYCROFT_HAS_PLATFORM
     {"front", RunFront},
 #endif
--- a/Services/celerycroft/node_command.cc
+++ b/Services/celerycroft/node_command.cc
@@ -79,6 +79,7 @@
       (*node)->Drain([&io] { io.stop(); });
   });
   RunThreads(io, threads);
+  base::FlushLog();
   return kExitSuccess;
 }
 
--- a/Tests/EndToEnd/faults.sh
+++ b/Tests/EndToEnd/faults.sh
@@ -27,7 +27,7 @@
   if "$@"; then echo "ok: $what"; else echo "FAILED: $what"; failures=$((failures + 1)); fi
 }
 start_node() { # NUMBER
-  "$bin" node --settings "$example/nodes/sljeme-$1.json" 2>>"$logs/node-$1" &
+  "$bin" node --settings "$example/nodes/sljeme-$1.json" >>"$logs/node-$1" 2>&1 &
   pids[node-$1]=$!
 }
 end_node() { # NUMBER SIGNAL
--- a/Tests/LibUpstream/extra_load_budget_test.cc
+++ b/Tests/LibUpstream/extra_load_budget_test.cc
@@ -12,6 +12,8 @@
 using std::chrono::seconds;
 
 constexpr double kShare = 0.2;
+constexpr base::Duration kStep = std::chrono::milliseconds(100);
+constexpr size_t kStepsPerWindow = 100;
 const WindowBudgetRules kRules{seconds(10), 40};
 
 int SpendAll(ExtraLoadBudget& budget) {
@@ -52,8 +54,6 @@
   fakes::VirtualScheduler scheduler;
   WindowExtraLoadBudget budget(kRules, scheduler, [] { return 1; });
   scheduler.RunFor(seconds(11));
-  constexpr base::Duration kStep = std::chrono::milliseconds(100);
-  constexpr size_t kStepsPerWindow = 100;
   std::vector<int> primary;
   std::vector<int> extra;
   for (int step = 0; step < 1000; ++step) {
