--- /dev/null
+++ b/Tests/platform/codec_test.cc
@@ -0,0 +1,153 @@
+// The platform's protocol to and from the product's types.
+
+#include <doctest/doctest.h>
+
+#include "caller_codec.h"
+#include "claim_reader.h"
+#include "configuration_reader.h"
+#include "server_codec.h"
+
+namespace platform {
+namespace {
+
+upstream::ShardCall MakeCall() {
+  auto request = std::make_shared<upstream::ForwardedRequest>();
+  request->id = "r1";
+  request->message = {"GET", "/a/b?c=1", {{"Host", "h"}}, ""};
+  upstream::ShardCall call;
+  call.request_id = "r1";
+  call.shard_count = 2;
+  call.forwarded = request;
+  return call;
+}
+
+http::Response MakeResponse(int status, http::Headers headers) {
+  http::Response response;
+  response.status = status;
+  response.headers = std::move(headers);
+  return response;
+}
+
+TEST_CASE("a call states the time left and the server meant") {
+  const auto request = ServerCodec().Encode(
+      {"10.0.0.1:80", 1, "i-1"}, MakeCall(), std::chrono::microseconds(41'900));
+  CHECK(request.target == "/a/b?c=1");
+  CHECK(http::FindHeader(request.headers, "Celerycroft-Deadline-Ms") == "41");
+  CHECK(http::FindHeader(request.headers, "Celerycroft-Expect-Instance") ==
+        "i-1");
+}
+
+TEST_CASE("answers of servers are told apart") {
+  const ServerCodec codec;
+  const auto decode = [&](int status, http::Headers headers) {
+    return codec.Decode(MakeCall(), MakeResponse(status, std::move(headers)));
+  };
+  using upstream::ShardFailure;
+  const http::Header stamp = {"Celerycroft-Server-Stamp", "s"};
+  CHECK(decode(200, {stamp})->forwarded->signature == "s");
+  CHECK(decode(200, {}).error() == ShardFailure::kBroken);
+  CHECK(decode(200, {stamp, {"Celerycroft-Request-Id", "r0"}}).error() ==
+        ShardFailure::kBroken);
+  CHECK(decode(200, {stamp, {"Content-Encoding", "gzip"}}).error() ==
+        ShardFailure::kBroken);
+  CHECK(decode(503, {{"Celerycroft-Not-Executed", "1"}}).error() ==
+        ShardFailure::kOverloaded);
+  CHECK(decode(421, {}).error() == ShardFailure::kMisdirected);
+  CHECK(decode(500, {stamp})->forwarded->verdict ==
+        upstream::ServerVerdict::kFailed);
+  const auto loaded =
+      decode(200, {stamp, {"Celerycroft-Server-Load", "3,0,8"}});
+  CHECK(loaded->forwarded->load == upstream::ServerLoad{3, 0, 8});
+}
+
+TEST_CASE("headers of one connection are not handed on") {
+  const auto call = ReadCall({"GET",
+                              "/a/",
+                              {{"Host", "H.example:80"},
+                               {"Connection", "close, X-Hop"},
+                               {"X-Hop", "1"},
+                               {"X-Kept", "2"},
+                               {"Celerycroft-Deadline-Ms", "250"},
+                               {"Celerycroft-Request-Id", "r1"}},
+                              ""});
+  CHECK(call.request->id == "r1");
+  CHECK(call.request->host == "h.example");
+  CHECK(call.time_allowed == std::chrono::milliseconds(250));
+  const http::Headers& kept = call.request->message.headers;
+  CHECK(http::FindHeader(kept, "X-Hop").empty());
+  CHECK(http::FindHeader(kept, "Celerycroft-Deadline-Ms").empty());
+  CHECK(http::FindHeader(kept, "X-Kept") == "2");
+  CHECK(http::FindHeader(kept, "Celerycroft-Request-Id") == "r1");
+}
+
+TEST_CASE("a server's answer never makes us promise that nothing ran") {
+  const auto call = ReadCall({"POST", "/a/", {}, ""});
+  auto reply = std::make_shared<upstream::ForwardedReply>();
+  reply->message = MakeResponse(503, {{"Celerycroft-Server-Stamp", "s"}});
+  query::ForwardAnswer answer;
+  answer.outcome = query::ForwardOutcome::kRelayed;
+  answer.reply = reply;
+  const auto response = WriteAnswer(*call.request, answer);
+  CHECK(response.status == 502);
+  CHECK(http::FindHeader(response.headers, "Celerycroft-Server-Stamp").empty());
+}
+
+TEST_CASE("a refusal says when to come back") {
+  const auto call = ReadCall({"GET", "/a/", {}, ""});
+  query::ForwardAnswer answer;
+  answer.outcome = query::ForwardOutcome::kNotRun;
+  answer.retry_after = std::chrono::milliseconds(50);
+  const auto response = WriteAnswer(*call.request, answer);
+  CHECK(response.status == 503);
+  CHECK(http::FindHeader(response.headers, "Retry-After") == "0.05");
+}
+
+TEST_CASE("entries of other writers name no server") {
+  const auto read = [](const std::string& text) {
+    return ReadClaim({"servers/i-1", 7, text});
+  };
+  const std::string good =
+      R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
+      R"("slots":2,"state":"ready","cold_remaining_ms":0,"sequence":4,)"
+      R"("born":1700000000000})";
+  REQUIRE(read(good));
+  CHECK(read(good)->server->incarnation == 1'700'000'000'000);
+  CHECK(read(good)->revision == 7);
+  CHECK_FALSE(read("\x80\xff"));
+  CHECK_FALSE(read("{}"));
+  std::string other = good;
+  other.replace(other.find("ready"), 5, "sleep");
+  CHECK_FALSE(read(other));
+  CHECK_FALSE(ReadClaim({"servers/i-1", 8, std::nullopt})->server);
+}
+
+TEST_CASE("a configuration with a mistake is rejected whole") {
+  const std::string limits =
+      R"("limits":{"max_header_bytes":16384,"max_body_bytes":262144,)"
+      R"("header_timeout_ms":3000,"idle_timeout_ms":15000})";
+  const std::string service =
+      R"({"name":"s","health_path":"/health","max_connections":26})";
+  const std::string route =
+      R"({"name":"r","host":"h","prefix":"/a/","route_type":"idempotent",)"
+      R"("timeout_ms":250,"target_latency_ms":40,"priority":2,"attempts":2)";
+  const auto read = [&](const std::string& target) {
+    return ReadConfiguration(R"({"version":7,"routes":[)" + route + target +
+                             R"(}],"services":[)" + service + "]," + limits +
+                             "}");
+  };
+  const auto good =
+      read(R"(,"gather":["s"],"top_k":5,"min_success_share":0.75)");
+  REQUIRE(good);
+  CHECK(good->revision == 7);
+  CHECK(good->routes->Find("h", "/a/b")->gather->top_records == 5);
+  CHECK(good->routes->Find("h", "/b") == nullptr);
+  const auto split = read(R"(,"traffic_split":[{"service":"s","weight":3}])");
+  REQUIRE(split);
+  CHECK(split->routes->routes[0].services[0].weight == 3);
+  CHECK_FALSE(read(""));
+  CHECK_FALSE(read(R"(,"gather":["s"])"));
+  CHECK_FALSE(ReadConfiguration("[]"));
+}
+
+}  // namespace
+}  // namespace platform
