--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -21,6 +21,8 @@
 #include <nlohmann/json.hpp>
 #include <thread>
 
+#include "LibBase/time.h"
+
 namespace base {
 
 namespace {
@@ -100,11 +102,6 @@
   return "error";
 }
 
-int64_t UnixMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
-}
-
 std::atomic<uint64_t>& Dropped() {
   static std::atomic<uint64_t> dropped{0};
   return dropped;
--- a/Libraries/LibBase/time.cc
+++ b/Libraries/LibBase/time.cc
@@ -16,4 +16,9 @@
       std::chrono::nanoseconds(since_boot.tv_nsec)));
 }
 
+int64_t UnixMilliseconds() {
+  const auto now = std::chrono::system_clock::now().time_since_epoch();
+  return std::chrono::duration_cast<std::chrono::milliseconds>(now).count();
+}
+
 }  // namespace base
--- a/Libraries/LibBase/time.h
+++ b/Libraries/LibBase/time.h
@@ -21,6 +21,9 @@
 
 using Instant = MonotonicClock::time_point;
 
+// The time of day, for logs and names only: it may jump.
+int64_t UnixMilliseconds();
+
 constexpr double ToMilliseconds(Duration duration) {
   return static_cast<double>(duration.count()) / 1000.0;
 }
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -41,16 +41,6 @@
       health_listener_(std::move(health_listener)),
       pause_(rules.first_pause) {}
 
-void PrefixFollower::Stop() {
-  const std::lock_guard lock(mutex_);
-  stopped_ = true;
-}
-
-bool PrefixFollower::has_listed() {
-  const std::lock_guard lock(mutex_);
-  return has_listed_;
-}
-
 void PrefixFollower::List(const std::string& after_key) {
   store_.List(prefix_, after_key,
               [self = shared_from_this(), after_key](auto page) {
@@ -95,7 +85,6 @@
         removed.push_back({key, listing_revision_, std::nullopt});
     }
     revision_ = listing_revision_;
-    has_listed_ = true;
     last_read_ = scheduler_.Now();
   }
   std::ranges::for_each(removed, [this](auto& event) { Apply(event); });
@@ -106,8 +95,6 @@
   bool is_list_due = false;
   {
     const std::lock_guard lock(mutex_);
-    if (stopped_)
-      return;
     is_list_due = scheduler_.Now() - last_read_ >= rules_.list_period;
   }
   if (is_watcher_())
@@ -174,8 +161,6 @@
   base::Duration pause{};
   {
     const std::lock_guard lock(mutex_);
-    if (stopped_)
-      return;
     pause = pause_;
     pause_ = std::min(pause_ * 2, rules_.longest_pause);
   }
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -55,10 +55,6 @@
       HealthListener health_listener);
 
   void Start() { List(""); }
-  void Stop();
-
-  // Whether all entries have been listed once.
-  bool has_listed();
 
  private:
   PrefixFollower(std::string prefix,
@@ -98,8 +94,6 @@
   uint64_t revision_ = 0;          // To watch from.
   base::Duration pause_{};
   base::Instant last_read_;
-  bool has_listed_ = false;
-  bool stopped_ = false;
 };
 
 }  // namespace platform
--- a/Services/celerycroft/node.cc
+++ b/Services/celerycroft/node.cc
@@ -21,14 +21,8 @@
 constexpr int kSecretBytes = 32;
 constexpr base::Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
 
-uint64_t UnixMilliseconds() {
-  const auto now = std::chrono::system_clock::now().time_since_epoch();
-  return static_cast<uint64_t>(
-      std::chrono::duration_cast<std::chrono::milliseconds>(now).count());
-}
-
 node::Identity MakeIdentity(const config::Settings& settings) {
-  return {UnixMilliseconds(),
+  return {static_cast<uint64_t>(base::UnixMilliseconds()),
           settings.node_id + "-" + base::RandomHex(kProcessIdBytes),
           base::RandomHex(kSecretBytes)};
 }
