LibMembership: Tell listeners of suspicions, not of deaths only

Cause (bench_node_freeze): the listener was called only when a member became usable or ceased to be. A suspected member counts as usable, so the view kept it as alive, and answers to "which addresses" went on naming a frozen node until its suspicion had lapsed, 1.2 s longer. Ruled out: the leaves; the root asks another one within its patience. Change: the listener is called for each change of a member's state.

Meta/bench.sh builds before it runs, and fails where a row missed a bound or did not come to its end; on an unbuilt tree it reported 0 missed bounds before.

--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -5,6 +5,7 @@
 #include "LibMembership/membership_controller.h"
 
 #include <algorithm>
+#include <optional>
 #include <ranges>
 #include <utility>
 
@@ -369,21 +370,19 @@
     RefuteIfNeeded(*member);
     return;
   }
-  bool changed = false;
+  std::optional<Member> before;
   {
     const std::lock_guard lock(mutex_);
     const auto found = members_.find(member->node_id);
-    const bool was_usable =
-        found != members_.end() && found->second.member.is_usable();
-    const bool moved = found != members_.end() &&
-                       found->second.member.incarnation != member->incarnation;
-    changed = was_usable != member->is_usable() || moved;
+    if (found != members_.end())
+      before = found->second.member;
     members_.insert_or_assign(member->node_id,
                               Known{*member, scheduler_.Now()});
   }
-  if (!changed)
+  const bool is_new = !before || before->incarnation != member->incarnation;
+  if (!is_new && before->state == member->state)
     return;
-  if (member->is_usable())
+  if (member->is_usable() && (is_new || !before->is_usable()))
     base::Log(base::Event::kPeerJoined, {{"peer", member->node_id}});
   if (change_listener_)
     change_listener_();
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -68,7 +68,7 @@
   std::vector<Member> Members();
   Member self();
 
-  // Called outside locks after the set of usable members changed.
+  // Called outside locks after a member came or its state changed.
   void SetChangeListener(std::function<void()> listener);
 
  private:
--- a/Meta/bench.sh
+++ b/Meta/bench.sh
@@ -1,18 +1,29 @@
 #!/usr/bin/env bash
-# Runs every row of the benchmark with five seeds, rows in parallel, and prints
-# one table. Arguments go to the benchmark, such as --short. JSON is written to
-# build/bench/.
+# Builds, runs every row of the benchmark with five seeds, rows in parallel, and
+# prints one table. Fails if a row missed a bound or did not run to its end.
+# Arguments go to the benchmark, such as --short. JSON is written to
+# FOLDER/bench/, where FOLDER is build, or $BUILD, which is taken as it is.
 set -uo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p build/bench
+if [ -z "${BUILD:-}" ]; then
+  BUILD=build
+  Meta/build.sh "$BUILD" || exit 1
+fi
+export BUILD
+mkdir -p "$BUILD/bench"
 rows=(no_fault straggler slow_upstream zone_loss node_death node_freeze
       silent_connections overload greedy_party stall limits usage)
 printf '%s\n' "${rows[@]}" | xargs -P 5 -I{} sh -c \
-  'build/Benchmarks/tier_bench --row {} --json '"$*"' >build/bench/{}.out 2>&1'
+  '"$BUILD"/Benchmarks/tier_bench --row {} --json '"$*"' >"$BUILD"/bench/{}.out 2>&1'
 missed=0
+not_run=()
 for row in "${rows[@]}"; do
-  grep -v '^\[{' "build/bench/$row.out" | grep -vE '^(all bounds|bounds missed)'
-  grep '^\[{' "build/bench/$row.out" >"build/bench/$row.json"
-  missed=$((missed + $(grep -c 'MISSED$' "build/bench/$row.out")))
+  out=$BUILD/bench/$row.out
+  grep -v '^\[{' "$out" | grep -vE '^(all bounds|bounds missed)'
+  grep '^\[{' "$out" >"$BUILD/bench/$row.json" &&
+    grep -qE '^(all bounds held|bounds missed)' "$out" || not_run+=("$row")
+  missed=$((missed + $(grep -c 'MISSED$' "$out")))
 done
 echo "missed bounds: $missed"
+echo "rows not run: ${#not_run[@]} ${not_run[*]}"
+[ "$missed" = 0 ] && [ "${#not_run[@]}" = 0 ]
