LibUpstream, LibQuery: Forget idle servers' past; replace lost calls

Ruled out: the concurrency limit (28, with 5 running), the hedge quantile (2,000 answers, about 1.5 s) and the budget (refilled within a second). Change: latency and failures fade once a server has had no call for four times the usual gap between two, 0.5 s at least; a new sample weighs what faded. The check that a refusing server is tried again after 30 s compared two servers of which nothing is known by then: the other one now is in use, and nearly all calls must still go to the first.

Change: a call whose server has answered calls that began well after it, or, once half of its time is over, whose fellows' servers have, is lost: it is sent again without a budget, on another connection. Never while nothing answers, and never for forwarded requests, whose extra load is limited.

--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -71,7 +71,7 @@
 void LeafExecution::ArmTimers() {
   if (open_runs_ == 0)
     return;
-  deadline_timer_ = After(deadline_ - Now(), &LeafExecution::OnDeadline);
+  deadline_timer_ = After(deadline_ - Now(), &LeafExecution::Cancel);
   if (request_.forward && request_.forward->objective.count() > 0)
     objective_timer_ =
         After(request_.forward->objective, &LeafExecution::OnObjective);
@@ -82,18 +82,18 @@
   if (!delay)
     return;
   for (ServiceRun& run : runs_)
-    run.hedge_due = Now() + *delay;
-  ArmHedgeTimer();
+    run.check_due = Now() + *delay;
+  ArmCheckTimer();
 }
 
-void LeafExecution::ArmHedgeTimer() {
+void LeafExecution::ArmCheckTimer() {
   std::optional<base::Instant> next;
   for (const ServiceRun& run : runs_) {
-    if (!run.done && run.hedge_due && (!next || *run.hedge_due < *next))
-      next = run.hedge_due;
+    if (!run.done && run.check_due && (!next || *run.check_due < *next))
+      next = run.check_due;
   }
   if (next)
-    hedge_timer_ = After(*next - Now(), &LeafExecution::OnHedgeDue);
+    check_timer_ = After(*next - Now(), &LeafExecution::OnCheckDue);
 }
 
 void LeafExecution::StartPrimary(ServiceRun& run) {
@@ -334,23 +334,25 @@
 
 // Hedges the services still open, unless so many are that the upstream as a
 // whole must be slow.
-void LeafExecution::OnHedgeDue() {
+void LeafExecution::OnCheckDue() {
   const std::lock_guard lock(mutex_);
   if (open_runs_ == 0)
     return;
   const auto limit = static_cast<size_t>(rules_.slow_upstream_share *
                                          static_cast<double>(runs_.size()));
   const bool is_upstream_slow = open_runs_ > std::max<size_t>(limit, 1);
+  const auto delay = HedgeDelay();
   for (ServiceRun& run : runs_) {
-    if (run.done || !run.hedge_due || *run.hedge_due > Now())
+    if (run.done || !run.check_due || *run.check_due > Now())
+      continue;
+    run.check_due.reset();
+    if (delay)
+      run.check_due = Now() + *delay;
+    if (delay && ReplaceLost(run, *delay))
       continue;
-    run.hedge_due.reset();
-    if (!is_upstream_slow)
-      Hedge(run);
-    else if (const auto delay = HedgeDelay())
-      run.hedge_due = Now() + *delay;
+    run.hedged = run.hedged || (!is_upstream_slow && Hedge(run));
   }
-  ArmHedgeTimer();
+  ArmCheckTimer();
 }
 
 bool LeafExecution::Hedge(ServiceRun& run) {
@@ -359,21 +361,48 @@
          StartAttempt(run, AttemptKind::kHedge);
 }
 
-void LeafExecution::OnObjective() {
-  Completion completion;
-  {
-    const std::lock_guard lock(mutex_);
-    is_objective_over_ = true;
-    completion = CompleteIfDone();
+// An attempt is lost if its server has answered calls that began well after it:
+// then its connection has gone silent, not the server. Half of its time is
+// waited where only other servers did so.
+bool LeafExecution::IsLost(const Attempt& attempt,
+                           base::Duration usual_latency) {
+  const base::Instant overdue = attempt.started + usual_latency;
+  const auto has_overtaken = [&](const Attempt& other) {
+    return dependencies_->servers.View(other.server, Now())
+               .newest_answered_start > overdue;
+  };
+  const bool is_half_over = Now() - attempt.started > deadline_ - Now();
+  return has_overtaken(attempt) ||
+         (is_half_over && std::ranges::any_of(runs_, [&](const auto& run) {
+            return std::ranges::any_of(run.attempts, has_overtaken);
+          }));
+}
+
+// Lost calls are as few as the connections that went silent, and need no budget
+// where the upstream sets none.
+bool LeafExecution::ReplaceLost(ServiceRun& run, base::Duration usual_latency) {
+  if (request_.forward || Now() >= deadline_)
+    return false;
+  bool found = false;
+  for (Attempt& attempt : run.attempts) {
+    if (!attempt.open || !IsLost(attempt, usual_latency))
+      continue;
+    found = true;
+    attempt.lost = true;
+    ++run.unsent;
+    run.run_state = RunState::kMayHaveRun;
+    CloseAttempt(attempt);
   }
-  completion.Run();
+  if (found && !run.HasOpenAttempt() && !StartAttempt(run, AttemptKind::kRetry))
+    Abandon(run, MissingReason::kTimeout);
+  return found;
 }
 
-void LeafExecution::OnDeadline() {
+void LeafExecution::OnObjective() {
   Completion completion;
   {
     const std::lock_guard lock(mutex_);
-    AbandonAll();
+    is_objective_over_ = true;
     completion = CompleteIfDone();
   }
   completion.Run();
@@ -397,16 +426,19 @@
 
 void LeafExecution::CloseAttempts(ServiceRun& run) {
   for (Attempt& attempt : run.attempts) {
-    if (!attempt.open)
-      continue;
-    attempt.open = false;
-    RecordEnd(attempt, "abandoned");
-    dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
-                                       Now() - attempt.started, Now());
-    dependencies_->transport.Cancel(attempt.call);
+    if (attempt.open)
+      CloseAttempt(attempt);
   }
 }
 
+void LeafExecution::CloseAttempt(Attempt& attempt) {
+  attempt.open = false;
+  RecordEnd(attempt, "abandoned");
+  dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
+                                     Now() - attempt.started, Now());
+  dependencies_->transport.Cancel(attempt.call);
+}
+
 void LeafExecution::Finish(ServiceRun& run) {
   assert(!run.done);
   run.done = true;
@@ -427,7 +459,7 @@
     return {};
   dependencies_->scheduler.Cancel(deadline_timer_);
   dependencies_->scheduler.Cancel(objective_timer_);
-  dependencies_->scheduler.Cancel(hedge_timer_);
+  dependencies_->scheduler.Cancel(check_timer_);
   return {std::exchange(callback_, nullptr), std::move(answer_)};
 }
 
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -46,7 +46,7 @@
 
   void PrepareRuns();
   void ArmTimers();
-  void ArmHedgeTimer();
+  void ArmCheckTimer();
   void StartPrimary(ServiceRun& run);
   Candidates CandidatesOf(const ServiceRun& run);
   size_t ChooseReplica(const std::vector<upstream::ServerView>& candidates);
@@ -73,13 +73,16 @@
   bool IsFree(upstream::ShardFailure failure) const;
   bool MayRepeat(const ServiceRun& run) const;
   std::optional<base::Duration> HedgeDelay() const;
-  void OnHedgeDue();
+  void OnCheckDue();
   bool Hedge(ServiceRun& run);
+  bool IsLost(const Attempt& attempt, base::Duration usual_latency);
+  // Sends the run's lost calls once more. Returns whether there were any.
+  bool ReplaceLost(ServiceRun& run, base::Duration usual_latency);
   void OnObjective();
-  void OnDeadline();
   void AbandonAll();
   void Abandon(ServiceRun& run, MissingReason reason);
   void CloseAttempts(ServiceRun& run);
+  void CloseAttempt(Attempt& attempt);
   void Finish(ServiceRun& run);
   bool IsCoverageReached() const;
   Completion CompleteIfDone();
@@ -102,7 +105,7 @@
   bool is_objective_over_ = false;
   base::TimerId deadline_timer_ = base::TimerId::kNone;
   base::TimerId objective_timer_ = base::TimerId::kNone;
-  base::TimerId hedge_timer_ = base::TimerId::kNone;
+  base::TimerId check_timer_ = base::TimerId::kNone;
 };
 
 }  // namespace query
--- a/Libraries/LibQuery/service_run.cc
+++ b/Libraries/LibQuery/service_run.cc
@@ -13,8 +13,9 @@
 }
 
 bool ServiceRun::HasTried(const std::string& server) const {
-  return std::ranges::find(attempts, server, &Attempt::server) !=
-         attempts.end();
+  return std::ranges::any_of(attempts, [&](const Attempt& attempt) {
+    return attempt.server == server && !attempt.lost;
+  });
 }
 
 MissingReason ToMissingReason(ShardFailure failure) {
--- a/Libraries/LibQuery/service_run.h
+++ b/Libraries/LibQuery/service_run.h
@@ -21,6 +21,8 @@
   upstream::CallId call = upstream::CallId::kNone;
   base::Instant started;
   bool open = true;
+  // Given up, since its connection must have gone silent.
+  bool lost = false;
 };
 
 struct ServiceRun {
@@ -28,14 +30,16 @@
   const config::Service* service = nullptr;  // Null if unknown.
   std::string account;                       // Of the extra load.
   std::vector<Attempt> attempts;
-  // Attempts that never reached a server.
+  // Attempts that never reached a server, as far as this node can tell.
   int unsent = 0;
-  std::optional<base::Instant> hedge_due;
+  bool hedged = false;
+  std::optional<base::Instant> check_due;  // Of attempts that are still open.
   MissingReason last_failure = MissingReason::kNoServer;
   RunState run_state = RunState::kNotRun;
   bool done = false;
 
   bool HasOpenAttempt() const;
+  // Lost attempts tell nothing of a server.
   bool HasTried(const std::string& server) const;
   int sent() const { return static_cast<int>(attempts.size()) - unsent; }
 };
--- a/Libraries/LibUpstream/server_table.cc
+++ b/Libraries/LibUpstream/server_table.cc
@@ -15,7 +15,13 @@
 // Weight of one new latency sample.
 constexpr double kLatencyGain = 0.2;
 constexpr double kFailureGain = 0.2;
-constexpr base::Duration kFailureHalfLife = std::chrono::seconds(2);
+constexpr double kGapGain = 0.02;
+// What was seen of a server counts in full until it has had no call for this
+// multiple of the usual gap between two, and at least as long as stated; half
+// as long again is its half-life from then on. A busy server that came out of a
+// stall is used again within 5 s.
+constexpr double kHoldGaps = 4;
+constexpr base::Duration kLeastHold = std::chrono::milliseconds(500);
 // Between calls to a server that answers none, at most: a server that came
 // back is found within it.
 constexpr base::Duration kLongestTrialPause = std::chrono::milliseconds(1000);
@@ -23,11 +29,22 @@
 
 }  // namespace
 
-// Fades by itself, so that a server that failed is tried again.
-double ServerTable::FailureShare(const Entry& entry, base::Instant now) {
-  const double age = base::ToSeconds(now - entry.last_failure);
-  return entry.failure_share *
-         std::exp2(-age / base::ToSeconds(kFailureHalfLife));
+void ServerTable::Entry::NoteGap(base::Instant now) {
+  const double gap = base::ToSeconds(now - last_end);
+  if (usual_gap > 0)
+    usual_gap = usual_gap * (1 - kGapGain) + gap * kGapGain;
+  else if (last_end != base::Instant())
+    usual_gap = gap;
+  last_end = now;
+}
+
+// What is known of a server that gets no calls fades: it may be of a moment
+// that is over, and only another call can tell.
+double ServerTable::Fading(const Entry& entry, base::Instant now) {
+  const double hold =
+      std::max(base::ToSeconds(kLeastHold), kHoldGaps * entry.usual_gap);
+  const double idle = base::ToSeconds(now - entry.last_end) - hold;
+  return std::exp2(-std::max(0.0, idle) / (hold / 2));
 }
 
 // A server is left alone for as long again as it has been silent.
@@ -46,13 +63,15 @@
       entry.outstanding > 0 ? now : entry.last_abandoned;
   const base::Duration silence =
       is_silent ? seen_until - entry.last_progress : base::Duration();
+  const double fading = Fading(entry, now);
   return {address,
           entry.outstanding,
-          base::Duration(static_cast<int64_t>(entry.latency_us)),
+          base::Duration(static_cast<int64_t>(entry.latency_us * fading)),
           leaving,
           now < entry.unreachable_until,
           silence,
-          FailureShare(entry, now)};
+          entry.failure_share * fading,
+          entry.newest_answered_start};
 }
 
 ServerView ServerTable::View(const std::string& address, base::Instant now) {
@@ -80,6 +99,9 @@
     Entry& entry = entries[address];
     --entry.outstanding;
     assert(entry.outstanding >= 0);
+    const double fading = Fading(entry, now);
+    entry.failure_share *= fading;
+    entry.NoteGap(now);
     if (end == CallEnd::kAbandoned) {
       entry.last_abandoned = now;
       if (entry.abandoned++ == 0)
@@ -87,22 +109,22 @@
     } else {
       entry.last_progress = now;
       entry.abandoned = 0;
-      entry.failure_share = FailureShare(entry, now) * (1 - kFailureGain) +
+      entry.failure_share = entry.failure_share * (1 - kFailureGain) +
                             (end == CallEnd::kFailed ? kFailureGain : 0);
-      entry.last_failure = now;
     }
     const auto sample = static_cast<double>(elapsed.count());
     // NOTE: An abandoned call only shows that the latency is no less.
-    if (end == CallEnd::kAbandoned && sample < entry.latency_us)
+    if (end == CallEnd::kAbandoned && sample < entry.latency_us * fading)
       return;
     if (end == CallEnd::kFailed)
       return;
-    if (end == CallEnd::kAnswered)
+    if (end == CallEnd::kAnswered) {
       entry.unreachable_until = std::min(entry.unreachable_until, now);
-    entry.latency_us =
-        entry.latency_us == 0
-            ? sample
-            : entry.latency_us * (1 - kLatencyGain) + sample * kLatencyGain;
+      entry.newest_answered_start =
+          std::max(entry.newest_answered_start, now - elapsed);
+    }
+    const double kept = entry.latency_us == 0 ? 0 : (1 - kLatencyGain) * fading;
+    entry.latency_us = entry.latency_us * kept + sample * (1 - kept);
   });
 }
 
--- a/Libraries/LibUpstream/server_table.h
+++ b/Libraries/LibUpstream/server_table.h
@@ -27,6 +27,8 @@
   base::Duration silence{};
   // Decayed share of calls that failed, refusals included.
   double failure_share = 0;
+  // When the newest of the calls began that the server has answered.
+  base::Instant newest_answered_start{};
   // Whether the server is in another availability zone than this node.
   bool is_remote = false;
 
@@ -75,9 +77,13 @@
     // When a server with abandoned calls may get the next one.
     base::Instant next_trial{};
     double failure_share = 0;
-    base::Instant last_failure{};
+    base::Instant last_end{};  // Of a call.
+    double usual_gap = 0;      // Seconds between ends of calls; 0 unknown.
+    base::Instant newest_answered_start{};
+    void NoteGap(base::Instant now);
   };
-  static double FailureShare(const Entry& entry, base::Instant now);
+  // What the estimates of the entry still count for; from 1 down to 0.
+  static double Fading(const Entry& entry, base::Instant now);
   static base::Duration TrialPause(const Entry& entry, base::Instant now);
   static ServerView ToView(const std::string& address,
                            const Entry& entry,
