LibQuery: Log why a failed call was not repeated

The log did not say what stood in the way. Change: each attempt names the obstacle: may have run, no attempt, time, budget or server left.

--- a/Libraries/LibQuery/forward_log.cc
+++ b/Libraries/LibQuery/forward_log.cc
@@ -100,6 +100,8 @@
   text << attempt.service << "/" << attempt.server << " "
        << AttemptKindName(attempt.kind) << " at "
        << Milliseconds(attempt.started) << " ms: " << attempt.result;
+  if (!attempt.obstacle.empty())
+    text << " (" << attempt.obstacle << ")";
   if (attempt.took)
     text << " after " << Milliseconds(*attempt.took) << " ms";
   text << " (one of " << attempt.candidates << "; " << attempt.outstanding
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -229,11 +229,10 @@
     attempt->open = false;
     outcome = Check(run, call, std::move(outcome));
     NoteEnd(*attempt, outcome);
-    const std::string server = attempt->server;
     if (outcome)
       Accept(run, std::move(*outcome));
     else
-      OnFailure(run, server, outcome.error());
+      OnFailure(run, *attempt, outcome.error());
     completion = CompleteIfDone();
   }
   completion.Run();
@@ -286,8 +285,10 @@
 }
 
 void LeafExecution::OnFailure(ServiceRun& run,
-                              const std::string& server,
+                              const Attempt& attempt,
                               ShardFailure failure) {
+  const std::string server = attempt.server;
+  const uint32_t number = attempt.number;
   run.last_failure = ToMissingReason(failure);
   if (failure == ShardFailure::kLeaving)
     dependencies_->on_leaving(server);
@@ -298,14 +299,33 @@
     return;
   const AttemptKind kind =
       IsFree(failure) ? AttemptKind::kPrimary : AttemptKind::kRetry;
-  const bool may_repeat =
-      MayRepeat(run) &&
-      (IsFree(failure) || dependencies_->budget.TrySpend(run.account));
   // A call that did no work was counted and is now replaced.
   if (kind == AttemptKind::kPrimary)
     --answer_.load.primary;
-  if (!may_repeat || !StartAttempt(run, kind))
-    Abandon(run, run.last_failure);
+  std::string_view obstacle = ObstacleToRepeat(run, failure);
+  if (obstacle.empty() && !StartAttempt(run, kind))
+    obstacle = "no server left";
+  if (obstacle.empty())
+    return;
+  if (request_.forward)
+    answer_.attempts[number - 1].obstacle = obstacle;
+  Abandon(run, run.last_failure);
+}
+
+// Why a failed call may not be sent again; empty if it may, which then has
+// been taken from the budget.
+std::string_view LeafExecution::ObstacleToRepeat(const ServiceRun& run,
+                                                 ShardFailure failure) {
+  const bool is_idempotent =
+      !request_.forward ||
+      request_.forward->repeatability == config::Repeatability::kIdempotent;
+  if (!is_idempotent && run.run_state != RunState::kNotRun)
+    return "may have run";
+  if (!MayStart(run))
+    return Now() < deadline_ ? "no attempt left" : "no time left";
+  const bool is_allowed =
+      IsFree(failure) || dependencies_->budget.TrySpend(run.account);
+  return is_allowed ? "" : "no budget left";
 }
 
 // A forwarded request counts as extra load wherever it arrives once more, even
@@ -315,13 +335,6 @@
                           : DidNoWork(failure);
 }
 
-bool LeafExecution::MayRepeat(const ServiceRun& run) const {
-  const bool is_idempotent =
-      !request_.forward ||
-      request_.forward->repeatability == config::Repeatability::kIdempotent;
-  return (is_idempotent || run.run_state == RunState::kNotRun) && MayStart(run);
-}
-
 // Nothing until enough answers were seen, unless the request has an objective
 // to go by.
 std::optional<base::Duration> LeafExecution::HedgeDelay() const {
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -7,6 +7,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibQuery/leaf_executor.h"
@@ -68,10 +69,11 @@
   void NoteEnd(const Attempt& attempt, const upstream::ShardOutcome& outcome);
   void Accept(ServiceRun& run, upstream::ShardReply reply);
   void OnFailure(ServiceRun& run,
-                 const std::string& server,
+                 const Attempt& attempt,
                  upstream::ShardFailure failure);
+  std::string_view ObstacleToRepeat(const ServiceRun& run,
+                                    upstream::ShardFailure failure);
   bool IsFree(upstream::ShardFailure failure) const;
-  bool MayRepeat(const ServiceRun& run) const;
   std::optional<base::Duration> HedgeDelay() const;
   void OnCheckDue();
   bool Hedge(ServiceRun& run);
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -117,8 +117,11 @@
   leaf.Execute();
   leaf.scheduler.RunFor(kUsualLatency);
   leaf.transport.Answer(1);
-  leaf.scheduler.RunFor(kTime);
+  leaf.transport.End(
+      0, tl::make_unexpected(upstream::ShardFailure::kConnectionLost));
   CHECK(leaf.transport.calls.size() == 2);
+  REQUIRE(leaf.answer);
+  CHECK(leaf.answer->attempts.front().obstacle == "no budget left");
 }
 
 TEST_CASE("a request that must run once is not sent again after it was lost") {
@@ -133,6 +136,7 @@
   CHECK(leaf.transport.calls.size() == 1);
   REQUIRE(leaf.answer);
   CHECK(leaf.answer->run_state == RunState::kMayHaveRun);
+  CHECK(leaf.answer->attempts.front().obstacle == "may have run");
 }
 
 TEST_CASE("cancelling ends all calls at once") {
