--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -83,6 +83,8 @@
      "Usage counters wait for the key-value service."},
     {Event::kRequestEnded, Severity::kInfo, "request_ended",
      "A forwarded request ended badly, late or partly, or was sampled."},
+    {Event::kDelegatedWorkEnded, Severity::kInfo, "delegated_work_ended",
+     "What this node did for another node's request was incomplete."},
 });
 
 std::string& ProcessName() {
--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -40,6 +40,7 @@
   kUsageWritten = 600,
   kUsageWriteFailed = 601,
   kRequestEnded = 700,
+  kDelegatedWorkEnded = 701,
 };
 
 struct EventDescription {
--- a/Libraries/LibConfig/route_table.cc
+++ b/Libraries/LibConfig/route_table.cc
@@ -2,6 +2,8 @@
 
 #include "LibConfig/route_table.h"
 
+#include <algorithm>
+
 namespace config {
 
 const Route* RouteTable::Find(std::string_view host,
@@ -15,4 +17,9 @@
   return best;
 }
 
+const Route* RouteTable::FindByName(std::string_view name) const {
+  const auto found = std::ranges::find(routes, name, &Route::name);
+  return found == routes.end() ? nullptr : &*found;
+}
+
 }  // namespace config
--- a/Libraries/LibConfig/route_table.h
+++ b/Libraries/LibConfig/route_table.h
@@ -73,6 +73,9 @@
   // The route of the host whose prefix is the longest that begins `path`.
   const Route* Find(std::string_view host, std::string_view path) const;
 
+  // Null if there is none.
+  const Route* FindByName(std::string_view name) const;
+
   bool operator==(const RouteTable&) const = default;
 };
 
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -97,6 +97,7 @@
     : settings_(std::move(settings)),
       readers_(std::move(readers)),
       world_(std::move(surroundings)),
+      log_lines_(world_.scheduler),
       views_(settings_.self.node_id, {}),
       links_(world_.scheduler, views_, world_.network),
       peer_contents_(views_,
@@ -146,7 +147,10 @@
              [this](const config::Upstream& upstream) {
                return ConnectionsPerNode(upstream);
              },
-             settings_.self.availability_zone},
+             settings_.self.availability_zone,
+             query::Delegation{
+                 links_,
+                 [this](const std::string& zone) { return NodeIn(zone); }}},
             MakeLeafRules(settings_)),
       filters_(MakeFilters()) {}
 
@@ -155,7 +159,7 @@
 query::ForwardFilterChain ForwardCore::MakeFilters() {
   query::ForwardFilterChain::Filters filters;
   filters.push_back(std::make_unique<query::ForwardLogFilter>(
-      world_.scheduler, metrics_,
+      world_.scheduler, metrics_, log_lines_,
       [this] { return world_.scheduler.Now() - configuration_since_.load(); }));
   filters.push_back(std::make_unique<query::ConfiguredFilter>(
       [this] { return configuration_->Current(); }));
@@ -302,15 +306,11 @@
 
 void ForwardCore::Handle(query::ForwardContextPtr context) {
   ++running_;
-  context->respond =
-      [this, raw = context.get(),
-       respond = std::move(context->respond)](query::ForwardAnswer answer) {
-        metrics_.Observe("celerycroft_forward_seconds",
-                         raw->route ? "route=\"" + raw->route->name + "\"" : "",
-                         world_.scheduler.Now() - raw->arrival);
-        respond(std::move(answer));
-        --running_;
-      };
+  context->respond = [this, respond = std::move(context->respond)](
+                         query::ForwardAnswer answer) {
+    respond(std::move(answer));
+    --running_;
+  };
   gate_.RunWhenFresh([this, context = std::move(context)]() mutable {
     filters_.Run(std::move(context));
   });
@@ -392,16 +392,50 @@
       .dump();
 }
 
+// Part of a request that another node took. It runs only under the same
+// configuration, since all parts of an answer are of one.
 void ForwardCore::ExecuteLeaf(query::LeafRequest request,
                               std::function<void(query::LeafAnswer)> callback) {
-  query::LeafAnswer answer;
-  answer.request_id = request.request_id;
-  answer.version = request.version;
-  for (const query::ServiceShards& work : request.work) {
-    for (const uint32_t shard : work.shards)
-      answer.missing.push_back({shard, query::MissingReason::kNoServer});
+  const base::Instant deadline = world_.scheduler.Now() + request.time_left;
+  ++running_;
+  gate_.RunWhenFresh([this, request = std::move(request), deadline,
+                      callback = std::move(callback)]() mutable {
+    request.time_left = deadline - world_.scheduler.Now();
+    const auto respond = [this, callback = std::move(callback)](auto answer) {
+      callback(std::move(answer));
+      --running_;
+    };
+    const auto configuration = configuration_->Current();
+    const config::Route* route =
+        configuration->routes && configuration->revision == request.version
+            ? configuration->routes->FindByName(request.upstream)
+            : nullptr;
+    if (!request.forward || !route || !route->gather) {
+      respond(query::AnswerWithNothing(request,
+                                       query::MissingReason::kVersionGone));
+      return;
+    }
+    const size_t top_records = request.forward->top_records;
+    leaf_.Execute(upstreams_.For(configuration, route->gather->services),
+                  std::move(request),
+                  [this, top_records, respond](query::LeafAnswer answer) {
+                    query::LogDelegatedWork(answer, log_lines_);
+                    query::CompactParts(answer, top_records);
+                    respond(std::move(answer));
+                  });
+  });
+}
+
+std::string ForwardCore::NodeIn(const std::string& availability_zone) {
+  const auto view = views_.Current();
+  std::vector<std::string> nodes;
+  for (const membership::Member& member : view->members()) {
+    if (member.state == membership::MemberState::kAlive &&
+        member.availability_zone == availability_zone &&
+        member.node_id != settings_.self.node_id)
+      nodes.push_back(member.node_id);
   }
-  callback(std::move(answer));
+  return nodes.empty() ? "" : nodes[world_.random.Below(nodes.size())];
 }
 
 membership::GossipMessage ForwardCore::Gossip(
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -24,6 +24,7 @@
 #include "LibPlatform/entry_store.h"
 #include "LibPlatform/prefix_follower.h"
 #include "LibQuery/forward_filters.h"
+#include "LibQuery/line_limiter.h"
 #include "LibRouting/cluster_view.h"
 #include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/hedge_policy.h"
@@ -127,6 +128,8 @@
   bool IsWatcher(const std::string& task);
   void RefreshView();
   void RunHousekeeping();
+  // A node that takes work for others; empty if the zone has none.
+  std::string NodeIn(const std::string& availability_zone);
   int ConnectionsPerNode(const config::Upstream& upstream);
   size_t NodeCount();
 
@@ -134,6 +137,7 @@
   const ForwardReaders readers_;
   const ForwardSurroundings world_;
   base::Metrics metrics_;
+  query::LineLimiter log_lines_;
 
   routing::ClusterViewController views_;
   PeerLinks links_;
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -45,6 +45,58 @@
   return std::string(text.begin(), text.size());
 }
 
+namespace {
+
+capnp::Data::Reader ToData(const std::string& bytes) {
+  return {reinterpret_cast<const kj::byte*>(bytes.data()), bytes.size()};
+}
+
+std::string ToBytes(capnp::Data::Reader bytes) {
+  return std::string(bytes.asChars().begin(), bytes.size());
+}
+
+void Encode(const query::ForwardTerms& value,
+            wire::ForwardedRequest::Builder out) {
+  const http::Request& message = value.request->message;
+  out.setId(ToText(value.request->id));
+  out.setHost(ToText(value.request->host));
+  out.setMethod(ToText(message.method));
+  out.setTarget(ToText(message.target));
+  auto headers = out.initHeaders(static_cast<uint32_t>(message.headers.size()));
+  for (uint32_t i = 0; i < message.headers.size(); ++i) {
+    headers[i].setName(ToText(message.headers[i].name));
+    headers[i].setValue(ToText(message.headers[i].value));
+  }
+  out.setBody(ToData(message.body));
+  out.setMaxAttempts(value.max_attempts);
+  out.setTopRecords(static_cast<uint32_t>(value.top_records));
+  out.setObjectiveUs(value.objective.count());
+  out.setLeastShare(value.least_share);
+}
+
+// NOTE: Only what may be repeated is handed to other nodes.
+query::ForwardTerms Decode(wire::ForwardedRequest::Reader in) {
+  auto request = std::make_shared<upstream::ForwardedRequest>();
+  request->id = ToString(in.getId());
+  request->host = ToString(in.getHost());
+  request->message.method = ToString(in.getMethod());
+  request->message.target = ToString(in.getTarget());
+  for (const auto header : in.getHeaders())
+    request->message.headers.push_back(
+        {ToString(header.getName()), ToString(header.getValue())});
+  request->message.body = ToBytes(in.getBody());
+  query::ForwardTerms value;
+  value.request = std::move(request);
+  value.max_attempts = in.getMaxAttempts();
+  value.top_records = in.getTopRecords();
+  value.objective = base::Duration(in.getObjectiveUs());
+  value.least_share = in.getLeastShare();
+  value.origin = query::RequestOrigin::kNode;
+  return value;
+}
+
+}  // namespace
+
 void Encode(const query::LeafRequest& value, wire::LeafRequest::Builder out) {
   out.setRequestId(ToText(value.request_id));
   out.setParty(ToText(value.party));
@@ -61,6 +113,8 @@
   out.setQuery(ToText(value.query));
   out.setTimeLeftUs(value.time_left.count());
   out.setExtraLoadShare(value.extra_load_share);
+  if (value.forward)
+    Encode(*value.forward, out.initForwarded());
 }
 
 query::LeafRequest Decode(wire::LeafRequest::Reader in) {
@@ -79,6 +133,8 @@
   value.query = ToString(in.getQuery());
   value.time_left = base::Duration(in.getTimeLeftUs());
   value.extra_load_share = in.getExtraLoadShare();
+  if (in.hasForwarded())
+    value.forward = Decode(in.getForwarded());
   return value;
 }
 
@@ -98,6 +154,12 @@
   out.setPrimary(value.load.primary);
   out.setHedges(value.load.hedges);
   out.setRetries(value.load.retries);
+  auto parts = out.initParts(static_cast<uint32_t>(value.parts.size()));
+  for (uint32_t i = 0; i < value.parts.size(); ++i) {
+    parts[i].setService(value.parts[i].service);
+    parts[i].setSignature(ToText(value.parts[i].reply->signature));
+    parts[i].setRecords(ToData(value.parts[i].reply->message.body));
+  }
 }
 
 query::LeafAnswer Decode(wire::LeafAnswer::Reader in) {
@@ -110,6 +172,12 @@
     value.missing.push_back(
         {missing.getShard(), ToMissingReason(missing.getReason())});
   value.load = {in.getPrimary(), in.getHedges(), in.getRetries()};
+  for (const auto part : in.getParts()) {
+    auto reply = std::make_shared<upstream::ForwardedReply>();
+    reply->signature = ToString(part.getSignature());
+    reply->message.body = ToBytes(part.getRecords());
+    value.parts.push_back({part.getService(), std::move(reply)});
+  }
   return value;
 }
 
--- a/Libraries/LibPeer/peer.capnp
+++ b/Libraries/LibPeer/peer.capnp
@@ -9,6 +9,25 @@
   shards @1 :List(UInt32);
 }
 
+struct Header {
+  name @0 :Text;
+  value @1 :Text;
+}
+
+# A request that is handed on as a caller sent it.
+struct ForwardedRequest {
+  id @0 :Text;
+  host @1 :Text;
+  method @2 :Text;
+  target @3 :Text;
+  headers @4 :List(Header);
+  body @5 :Data;
+  maxAttempts @6 :Int32;
+  topRecords @7 :UInt32;
+  objectiveUs @8 :Int64;
+  leastShare @9 :Float64;
+}
+
 struct LeafRequest {
   requestId @0 :Text;
   party @1 :Text;
@@ -19,6 +38,7 @@
   query @6 :Text;
   timeLeftUs @7 :Int64;
   extraLoadShare @8 :Float64;
+  forwarded @9 :ForwardedRequest;  # Null where `query` holds the request.
 }
 
 struct ShardResult {
@@ -26,6 +46,13 @@
   items @1 :Text;
 }
 
+# One service's part of a merged answer. Its records may stand in another part.
+struct ForwardedPart {
+  service @0 :UInt32;
+  signature @1 :Text;
+  records @2 :Data;
+}
+
 struct MissingShard {
   shard @0 :UInt32;
   reason @1 :UInt8;
@@ -39,6 +66,7 @@
   primary @4 :UInt64;
   hedges @5 :UInt64;
   retries @6 :UInt64;
+  parts @7 :List(ForwardedPart);  # Of forwarded requests, for `results`.
 }
 
 struct Fact {
--- a/Libraries/LibPeer/peer.capnp.h
+++ b/Libraries/LibPeer/peer.capnp.h
@@ -20,8 +20,11 @@
 namespace schemas {
 
 CAPNP_DECLARE_SCHEMA(d5dbab7460cd56ae);
+CAPNP_DECLARE_SCHEMA(a15efb4df6985c37);
+CAPNP_DECLARE_SCHEMA(8816201cda99164a);
 CAPNP_DECLARE_SCHEMA(a36cc37dbfdfaf04);
 CAPNP_DECLARE_SCHEMA(9b5d57dceffbcf1b);
+CAPNP_DECLARE_SCHEMA(d26ee020672be61d);
 CAPNP_DECLARE_SCHEMA(d90f67d19e537c9e);
 CAPNP_DECLARE_SCHEMA(a2d33c76de106d2c);
 CAPNP_DECLARE_SCHEMA(cfe856f33b5de1e7);
@@ -70,6 +73,36 @@
   };
 };
 
+struct Header {
+  Header() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(a15efb4df6985c37, 0, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
+struct ForwardedRequest {
+  ForwardedRequest() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(8816201cda99164a, 3, 6)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct LeafRequest {
   LeafRequest() = delete;
 
@@ -78,7 +111,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a36cc37dbfdfaf04, 4, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(a36cc37dbfdfaf04, 4, 6)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -100,6 +133,21 @@
   };
 };
 
+struct ForwardedPart {
+  ForwardedPart() = delete;
+
+  class Reader;
+  class Builder;
+  class Pipeline;
+
+  struct _capnpPrivate {
+    CAPNP_DECLARE_STRUCT_HEADER(d26ee020672be61d, 1, 2)
+    #if !CAPNP_LITE
+    static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
+    #endif  // !CAPNP_LITE
+  };
+};
+
 struct MissingShard {
   MissingShard() = delete;
 
@@ -123,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2d33c76de106d2c, 4, 3)
+    CAPNP_DECLARE_STRUCT_HEADER(a2d33c76de106d2c, 4, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -599,6 +647,248 @@
 };
 #endif  // !CAPNP_LITE
 
+class Header::Reader {
+public:
+  typedef Header Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName() const;
+  inline  ::capnp::Text::Reader getName() const;
+
+  inline bool hasValue() const;
+  inline  ::capnp::Text::Reader getValue() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class Header::Builder {
+public:
+  typedef Header Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasName();
+  inline  ::capnp::Text::Builder getName();
+  inline void setName( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initName(unsigned int size);
+  inline void adoptName(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownName();
+
+  inline bool hasValue();
+  inline  ::capnp::Text::Builder getValue();
+  inline void setValue( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initValue(unsigned int size);
+  inline void adoptValue(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownValue();
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class Header::Pipeline {
+public:
+  typedef Header Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class ForwardedRequest::Reader {
+public:
+  typedef ForwardedRequest Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId() const;
+  inline  ::capnp::Text::Reader getId() const;
+
+  inline bool hasHost() const;
+  inline  ::capnp::Text::Reader getHost() const;
+
+  inline bool hasMethod() const;
+  inline  ::capnp::Text::Reader getMethod() const;
+
+  inline bool hasTarget() const;
+  inline  ::capnp::Text::Reader getTarget() const;
+
+  inline bool hasHeaders() const;
+  inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader getHeaders() const;
+
+  inline bool hasBody() const;
+  inline  ::capnp::Data::Reader getBody() const;
+
+  inline  ::int32_t getMaxAttempts() const;
+
+  inline  ::uint32_t getTopRecords() const;
+
+  inline  ::int64_t getObjectiveUs() const;
+
+  inline double getLeastShare() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class ForwardedRequest::Builder {
+public:
+  typedef ForwardedRequest Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasId();
+  inline  ::capnp::Text::Builder getId();
+  inline void setId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initId(unsigned int size);
+  inline void adoptId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownId();
+
+  inline bool hasHost();
+  inline  ::capnp::Text::Builder getHost();
+  inline void setHost( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initHost(unsigned int size);
+  inline void adoptHost(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownHost();
+
+  inline bool hasMethod();
+  inline  ::capnp::Text::Builder getMethod();
+  inline void setMethod( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initMethod(unsigned int size);
+  inline void adoptMethod(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownMethod();
+
+  inline bool hasTarget();
+  inline  ::capnp::Text::Builder getTarget();
+  inline void setTarget( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initTarget(unsigned int size);
+  inline void adoptTarget(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownTarget();
+
+  inline bool hasHeaders();
+  inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder getHeaders();
+  inline void setHeaders( ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder initHeaders(unsigned int size);
+  inline void adoptHeaders(::capnp::Orphan< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>> disownHeaders();
+
+  inline bool hasBody();
+  inline  ::capnp::Data::Builder getBody();
+  inline void setBody( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initBody(unsigned int size);
+  inline void adoptBody(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownBody();
+
+  inline  ::int32_t getMaxAttempts();
+  inline void setMaxAttempts( ::int32_t value);
+
+  inline  ::uint32_t getTopRecords();
+  inline void setTopRecords( ::uint32_t value);
+
+  inline  ::int64_t getObjectiveUs();
+  inline void setObjectiveUs( ::int64_t value);
+
+  inline double getLeastShare();
+  inline void setLeastShare(double value);
+
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class ForwardedRequest::Pipeline {
+public:
+  typedef ForwardedRequest Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
 class LeafRequest::Reader {
 public:
   typedef LeafRequest Reads;
@@ -639,6 +929,9 @@
 
   inline double getExtraLoadShare() const;
 
+  inline bool hasForwarded() const;
+  inline  ::peer::wire::ForwardedRequest::Reader getForwarded() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -714,6 +1007,13 @@
   inline double getExtraLoadShare();
   inline void setExtraLoadShare(double value);
 
+  inline bool hasForwarded();
+  inline  ::peer::wire::ForwardedRequest::Builder getForwarded();
+  inline void setForwarded( ::peer::wire::ForwardedRequest::Reader value);
+  inline  ::peer::wire::ForwardedRequest::Builder initForwarded();
+  inline void adoptForwarded(::capnp::Orphan< ::peer::wire::ForwardedRequest>&& value);
+  inline ::capnp::Orphan< ::peer::wire::ForwardedRequest> disownForwarded();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -732,6 +1032,7 @@
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
       : _typeless(kj::mv(typeless)) {}
 
+  inline  ::peer::wire::ForwardedRequest::Pipeline getForwarded();
 private:
   ::capnp::AnyPointer::Pipeline _typeless;
   friend class ::capnp::PipelineHook;
@@ -826,9 +1127,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class MissingShard::Reader {
+class ForwardedPart::Reader {
 public:
-  typedef MissingShard Reads;
+  typedef ForwardedPart Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -843,9 +1144,13 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getShard() const;
+  inline  ::uint32_t getService() const;
 
-  inline  ::uint8_t getReason() const;
+  inline bool hasSignature() const;
+  inline  ::capnp::Text::Reader getSignature() const;
+
+  inline bool hasRecords() const;
+  inline  ::capnp::Data::Reader getRecords() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -859,9 +1164,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class MissingShard::Builder {
+class ForwardedPart::Builder {
 public:
-  typedef MissingShard Builds;
+  typedef ForwardedPart Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -875,11 +1180,22 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline  ::uint32_t getShard();
-  inline void setShard( ::uint32_t value);
+  inline  ::uint32_t getService();
+  inline void setService( ::uint32_t value);
 
-  inline  ::uint8_t getReason();
-  inline void setReason( ::uint8_t value);
+  inline bool hasSignature();
+  inline  ::capnp::Text::Builder getSignature();
+  inline void setSignature( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initSignature(unsigned int size);
+  inline void adoptSignature(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownSignature();
+
+  inline bool hasRecords();
+  inline  ::capnp::Data::Builder getRecords();
+  inline void setRecords( ::capnp::Data::Reader value);
+  inline  ::capnp::Data::Builder initRecords(unsigned int size);
+  inline void adoptRecords(::capnp::Orphan< ::capnp::Data>&& value);
+  inline ::capnp::Orphan< ::capnp::Data> disownRecords();
 
 private:
   ::capnp::_::StructBuilder _builder;
@@ -891,9 +1207,9 @@
 };
 
 #if !CAPNP_LITE
-class MissingShard::Pipeline {
+class ForwardedPart::Pipeline {
 public:
-  typedef MissingShard Pipelines;
+  typedef ForwardedPart Pipelines;
 
   inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
   inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
@@ -907,9 +1223,9 @@
 };
 #endif  // !CAPNP_LITE
 
-class LeafAnswer::Reader {
+class MissingShard::Reader {
 public:
-  typedef LeafAnswer Reads;
+  typedef MissingShard Reads;
 
   Reader() = default;
   inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
@@ -924,22 +1240,9 @@
   }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId() const;
-  inline  ::capnp::Text::Reader getRequestId() const;
-
-  inline  ::uint64_t getVersion() const;
-
-  inline bool hasResults() const;
-  inline  ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
-
-  inline bool hasMissing() const;
-  inline  ::capnp::List< ::peer::wire::MissingShard,  ::capnp::Kind::STRUCT>::Reader getMissing() const;
-
-  inline  ::uint64_t getPrimary() const;
-
-  inline  ::uint64_t getHedges() const;
+  inline  ::uint32_t getShard() const;
 
-  inline  ::uint64_t getRetries() const;
+  inline  ::uint8_t getReason() const;
 
 private:
   ::capnp::_::StructReader _reader;
@@ -953,9 +1256,9 @@
   friend class ::capnp::Orphanage;
 };
 
-class LeafAnswer::Builder {
+class MissingShard::Builder {
 public:
-  typedef LeafAnswer Builds;
+  typedef MissingShard Builds;
 
   Builder() = delete;  // Deleted to discourage incorrect usage.
                        // You can explicitly initialize to nullptr instead.
@@ -969,18 +1272,115 @@
   inline ::kj::StringTree toString() const { return asReader().toString(); }
 #endif  // !CAPNP_LITE
 
-  inline bool hasRequestId();
-  inline  ::capnp::Text::Builder getRequestId();
-  inline void setRequestId( ::capnp::Text::Reader value);
-  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
-  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
-  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+  inline  ::uint32_t getShard();
+  inline void setShard( ::uint32_t value);
 
-  inline  ::uint64_t getVersion();
-  inline void setVersion( ::uint64_t value);
+  inline  ::uint8_t getReason();
+  inline void setReason( ::uint8_t value);
 
-  inline bool hasResults();
-  inline  ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Builder getResults();
+private:
+  ::capnp::_::StructBuilder _builder;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  friend class ::capnp::Orphanage;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+};
+
+#if !CAPNP_LITE
+class MissingShard::Pipeline {
+public:
+  typedef MissingShard Pipelines;
+
+  inline Pipeline(decltype(nullptr)): _typeless(nullptr) {}
+  inline explicit Pipeline(::capnp::AnyPointer::Pipeline&& typeless)
+      : _typeless(kj::mv(typeless)) {}
+
+private:
+  ::capnp::AnyPointer::Pipeline _typeless;
+  friend class ::capnp::PipelineHook;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+};
+#endif  // !CAPNP_LITE
+
+class LeafAnswer::Reader {
+public:
+  typedef LeafAnswer Reads;
+
+  Reader() = default;
+  inline explicit Reader(::capnp::_::StructReader base): _reader(base) {}
+
+  inline ::capnp::MessageSize totalSize() const {
+    return _reader.totalSize().asPublic();
+  }
+
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const {
+    return ::capnp::_::structString(_reader, *_capnpPrivate::brand());
+  }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId() const;
+  inline  ::capnp::Text::Reader getRequestId() const;
+
+  inline  ::uint64_t getVersion() const;
+
+  inline bool hasResults() const;
+  inline  ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Reader getResults() const;
+
+  inline bool hasMissing() const;
+  inline  ::capnp::List< ::peer::wire::MissingShard,  ::capnp::Kind::STRUCT>::Reader getMissing() const;
+
+  inline  ::uint64_t getPrimary() const;
+
+  inline  ::uint64_t getHedges() const;
+
+  inline  ::uint64_t getRetries() const;
+
+  inline bool hasParts() const;
+  inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
+
+private:
+  ::capnp::_::StructReader _reader;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::ToDynamic_;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::_::PointerHelpers;
+  template <typename, ::capnp::Kind>
+  friend struct ::capnp::List;
+  friend class ::capnp::MessageBuilder;
+  friend class ::capnp::Orphanage;
+};
+
+class LeafAnswer::Builder {
+public:
+  typedef LeafAnswer Builds;
+
+  Builder() = delete;  // Deleted to discourage incorrect usage.
+                       // You can explicitly initialize to nullptr instead.
+  inline Builder(decltype(nullptr)) {}
+  inline explicit Builder(::capnp::_::StructBuilder base): _builder(base) {}
+  inline operator Reader() const { return Reader(_builder.asReader()); }
+  inline Reader asReader() const { return *this; }
+
+  inline ::capnp::MessageSize totalSize() const { return asReader().totalSize(); }
+#if !CAPNP_LITE
+  inline ::kj::StringTree toString() const { return asReader().toString(); }
+#endif  // !CAPNP_LITE
+
+  inline bool hasRequestId();
+  inline  ::capnp::Text::Builder getRequestId();
+  inline void setRequestId( ::capnp::Text::Reader value);
+  inline  ::capnp::Text::Builder initRequestId(unsigned int size);
+  inline void adoptRequestId(::capnp::Orphan< ::capnp::Text>&& value);
+  inline ::capnp::Orphan< ::capnp::Text> disownRequestId();
+
+  inline  ::uint64_t getVersion();
+  inline void setVersion( ::uint64_t value);
+
+  inline bool hasResults();
+  inline  ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Builder getResults();
   inline void setResults( ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Reader value);
   inline  ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>::Builder initResults(unsigned int size);
   inline void adoptResults(::capnp::Orphan< ::capnp::List< ::peer::wire::ShardResult,  ::capnp::Kind::STRUCT>>&& value);
@@ -1002,6 +1402,13 @@
   inline  ::uint64_t getRetries();
   inline void setRetries( ::uint64_t value);
 
+  inline bool hasParts();
+  inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Builder getParts();
+  inline void setParts( ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Reader value);
+  inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Builder initParts(unsigned int size);
+  inline void adoptParts(::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>> disownParts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -3177,6 +3584,334 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline bool Header::Reader::hasName() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasName() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getName() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setName( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initName(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptName(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownName() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool Header::Reader::hasValue() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool Header::Builder::hasValue() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader Header::Reader::getValue() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder Header::Builder::getValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void Header::Builder::setValue( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder Header::Builder::initValue(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void Header::Builder::adoptValue(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> Header::Builder::disownValue() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasId() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasId() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getId() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setId( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initId(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptId(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownId() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasHost() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasHost() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getHost() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setHost( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initHost(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptHost(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownHost() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasMethod() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasMethod() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getMethod() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setMethod( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initMethod(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptMethod(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownMethod() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<2>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasTarget() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasTarget() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedRequest::Reader::getTarget() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::getTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setTarget( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedRequest::Builder::initTarget(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptTarget(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedRequest::Builder::disownTarget() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasHeaders() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasHeaders() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader ForwardedRequest::Reader::getHeaders() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::getHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setHeaders( ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>::Builder ForwardedRequest::Builder::initHeaders(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptHeaders(
+    ::capnp::Orphan< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>> ForwardedRequest::Builder::disownHeaders() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::Header,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<4>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedRequest::Reader::hasBody() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedRequest::Builder::hasBody() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ForwardedRequest::Reader::getBody() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::getBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void ForwardedRequest::Builder::setBody( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ForwardedRequest::Builder::initBody(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedRequest::Builder::adoptBody(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ForwardedRequest::Builder::disownBody() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline  ::int32_t ForwardedRequest::Reader::getMaxAttempts() const {
+  return _reader.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int32_t ForwardedRequest::Builder::getMaxAttempts() {
+  return _builder.getDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setMaxAttempts( ::int32_t value) {
+  _builder.setDataField< ::int32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::uint32_t ForwardedRequest::Reader::getTopRecords() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ForwardedRequest::Builder::getTopRecords() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setTopRecords( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline  ::int64_t ForwardedRequest::Reader::getObjectiveUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t ForwardedRequest::Builder::getObjectiveUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setObjectiveUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<1>() * ::capnp::ELEMENTS, value);
+}
+
+inline double ForwardedRequest::Reader::getLeastShare() const {
+  return _reader.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+
+inline double ForwardedRequest::Builder::getLeastShare() {
+  return _builder.getDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedRequest::Builder::setLeastShare(double value) {
+  _builder.setDataField<double>(
+      ::capnp::bounded<2>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool LeafRequest::Reader::hasRequestId() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -3403,6 +4138,45 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeafRequest::Reader::hasForwarded() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeafRequest::Builder::hasForwarded() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::peer::wire::ForwardedRequest::Reader LeafRequest::Reader::getForwarded() const {
+  return ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::peer::wire::ForwardedRequest::Builder LeafRequest::Builder::getForwarded() {
+  return ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+#if !CAPNP_LITE
+inline  ::peer::wire::ForwardedRequest::Pipeline LeafRequest::Pipeline::getForwarded() {
+  return  ::peer::wire::ForwardedRequest::Pipeline(_typeless.getPointerField(5));
+}
+#endif  // !CAPNP_LITE
+inline void LeafRequest::Builder::setForwarded( ::peer::wire::ForwardedRequest::Reader value) {
+  ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::peer::wire::ForwardedRequest::Builder LeafRequest::Builder::initForwarded() {
+  return ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void LeafRequest::Builder::adoptForwarded(
+    ::capnp::Orphan< ::peer::wire::ForwardedRequest>&& value) {
+  ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::peer::wire::ForwardedRequest> LeafRequest::Builder::disownForwarded() {
+  return ::capnp::_::PointerHelpers< ::peer::wire::ForwardedRequest>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t ShardResult::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3451,6 +4225,88 @@
       ::capnp::bounded<0>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t ForwardedPart::Reader::getService() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t ForwardedPart::Builder::getService() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void ForwardedPart::Builder::setService( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
+inline bool ForwardedPart::Reader::hasSignature() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedPart::Builder::hasSignature() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Text::Reader ForwardedPart::Reader::getSignature() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_reader.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Text::Builder ForwardedPart::Builder::getSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::get(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+inline void ForwardedPart::Builder::setSignature( ::capnp::Text::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::set(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Text::Builder ForwardedPart::Builder::initSignature(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::init(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedPart::Builder::adoptSignature(
+    ::capnp::Orphan< ::capnp::Text>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Text>::adopt(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Text> ForwardedPart::Builder::disownSignature() {
+  return ::capnp::_::PointerHelpers< ::capnp::Text>::disown(_builder.getPointerField(
+      ::capnp::bounded<0>() * ::capnp::POINTERS));
+}
+
+inline bool ForwardedPart::Reader::hasRecords() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline bool ForwardedPart::Builder::hasRecords() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::Data::Reader ForwardedPart::Reader::getRecords() const {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_reader.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline  ::capnp::Data::Builder ForwardedPart::Builder::getRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::get(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+inline void ForwardedPart::Builder::setRecords( ::capnp::Data::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::set(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::Data::Builder ForwardedPart::Builder::initRecords(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::init(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), size);
+}
+inline void ForwardedPart::Builder::adoptRecords(
+    ::capnp::Orphan< ::capnp::Data>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::Data>::adopt(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::Data> ForwardedPart::Builder::disownRecords() {
+  return ::capnp::_::PointerHelpers< ::capnp::Data>::disown(_builder.getPointerField(
+      ::capnp::bounded<1>() * ::capnp::POINTERS));
+}
+
 inline  ::uint32_t MissingShard::Reader::getShard() const {
   return _reader.getDataField< ::uint32_t>(
       ::capnp::bounded<0>() * ::capnp::ELEMENTS);
@@ -3637,6 +4493,40 @@
       ::capnp::bounded<3>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool LeafAnswer::Reader::hasParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline bool LeafAnswer::Builder::hasParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Reader LeafAnswer::Reader::getParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::get(_reader.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Builder LeafAnswer::Builder::getParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::get(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+inline void LeafAnswer::Builder::setParts( ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::set(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Builder LeafAnswer::Builder::initParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::init(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), size);
+}
+inline void LeafAnswer::Builder::adoptParts(
+    ::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>> LeafAnswer::Builder::disownParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>::disown(_builder.getPointerField(
+      ::capnp::bounded<3>() * ::capnp::POINTERS));
+}
+
 inline bool Fact::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -133,6 +133,7 @@
                      rules_.answer_reserve - now,
                  base::Duration(1));
     request.forward->least_share = route.gather->least_share;
+    request.forward->top_records = route.gather->top_records;
   }
   return request;
 }
--- a/Libraries/LibQuery/forward_log.cc
+++ b/Libraries/LibQuery/forward_log.cc
@@ -14,9 +14,6 @@
 
 namespace {
 
-// Of each node. At 1 KB a line this is 20 KB a second at most.
-constexpr double kLinesPerSecond = 20;
-constexpr double kLineBurst = 100;
 // One in this many requests that went well is written, to compare with.
 constexpr uint64_t kSamplePeriod = 500;
 // Of one line; the answered ones are left out first.
@@ -36,6 +33,8 @@
       return "hedge";
     case AttemptKind::kRetry:
       return "retry";
+    case AttemptKind::kDelegated:
+      return "delegated";
   }
   return "primary";
 }
@@ -113,12 +112,12 @@
 
 ForwardLogFilter::ForwardLogFilter(base::Scheduler& scheduler,
                                    base::Metrics& metrics,
+                                   LineLimiter& lines,
                                    std::function<base::Duration()> revision_age)
     : scheduler_(scheduler),
       metrics_(metrics),
-      revision_age_(std::move(revision_age)),
-      lines_(kLineBurst),
-      refilled_(scheduler.Now()) {}
+      lines_(lines),
+      revision_age_(std::move(revision_age)) {}
 
 void ForwardLogFilter::Handle(ForwardContextPtr context, Next next) {
   // NOTE: The context owns `respond`, so `respond` must not own the context.
@@ -126,8 +125,10 @@
                       respond =
                           std::move(context->respond)](ForwardAnswer answer) {
     Count(*raw, answer);
-    if (ShouldLog(*raw, answer) && TakeLine())
-      Write(*raw, answer);
+    if (ShouldLog(*raw, answer)) {
+      if (const auto left_out = lines_.Take())
+        Write(*raw, answer, *left_out);
+    }
     respond(std::move(answer));
   };
   next(std::move(context));
@@ -158,26 +159,12 @@
                                  const ForwardAnswer& answer) {
   const bool is_good = IsAnswered(answer) && context.missing.empty() &&
                        !IsLate(context, scheduler_.Now() - context.arrival);
-  const std::lock_guard lock(mutex_);
   return ++seen_ % kSamplePeriod == 0 || !is_good;
 }
 
-bool ForwardLogFilter::TakeLine() {
-  const base::Instant now = scheduler_.Now();
-  const std::lock_guard lock(mutex_);
-  lines_ = std::min(
-      kLineBurst, lines_ + base::ToSeconds(now - refilled_) * kLinesPerSecond);
-  refilled_ = now;
-  if (lines_ < 1) {
-    ++suppressed_;
-    return false;
-  }
-  lines_ -= 1;
-  return true;
-}
-
 void ForwardLogFilter::Write(const ForwardContext& context,
-                             const ForwardAnswer& answer) {
+                             const ForwardAnswer& answer,
+                             uint64_t left_out) {
   const base::Duration took = scheduler_.Now() - context.arrival;
   std::vector<base::LogField> fields = {
       {"request", context.request->id},
@@ -202,12 +189,23 @@
     fields.push_back(
         {"target", context.request->host + context.request->message.target});
   }
-  {
-    const std::lock_guard lock(mutex_);
-    fields.push_back({"linesLeftOut", std::to_string(suppressed_)});
-    suppressed_ = 0;
-  }
+  fields.push_back({"linesLeftOut", std::to_string(left_out)});
   base::Log(base::Event::kRequestEnded, fields);
 }
 
+void LogDelegatedWork(const LeafAnswer& answer, LineLimiter& lines) {
+  if (answer.missing.empty())
+    return;
+  const auto left_out = lines.Take();
+  if (!left_out)
+    return;
+  base::Log(base::Event::kDelegatedWorkEnded,
+            {{"request", answer.request_id},
+             {"revision", std::to_string(answer.version)},
+             {"answered", std::to_string(answer.parts.size())},
+             {"missing", std::to_string(answer.missing.size())},
+             {"attempts", DescribeAttempts(answer.attempts)},
+             {"linesLeftOut", std::to_string(*left_out)}});
+}
+
 }  // namespace query
--- a/Libraries/LibQuery/forward_log.h
+++ b/Libraries/LibQuery/forward_log.h
@@ -5,14 +5,16 @@
 #ifndef LIBQUERY_FORWARD_LOG_H_
 #define LIBQUERY_FORWARD_LOG_H_
 
+#include <atomic>
+#include <cstdint>
 #include <functional>
-#include <mutex>
 #include <string>
 #include <string_view>
 
 #include "LibBase/metrics.h"
 #include "LibBase/scheduler.h"
 #include "LibQuery/forward_filters.h"
+#include "LibQuery/line_limiter.h"
 
 namespace query {
 
@@ -24,26 +26,27 @@
   // `revision_age` tells for how long the configuration has been in force.
   ForwardLogFilter(base::Scheduler& scheduler,
                    base::Metrics& metrics,
+                   LineLimiter& lines,
                    std::function<base::Duration()> revision_age);
   void Handle(ForwardContextPtr context, Next next) override;
 
  private:
   void Count(const ForwardContext& context, const ForwardAnswer& answer);
   bool ShouldLog(const ForwardContext& context, const ForwardAnswer& answer);
-  bool TakeLine();
-  void Write(const ForwardContext& context, const ForwardAnswer& answer);
+  void Write(const ForwardContext& context,
+             const ForwardAnswer& answer,
+             uint64_t left_out);
 
   base::Scheduler& scheduler_;
   base::Metrics& metrics_;
+  LineLimiter& lines_;
   const std::function<base::Duration()> revision_age_;
-  std::mutex mutex_;
-  // All guarded by `mutex_`.
-  uint64_t seen_ = 0;
-  double lines_ = 0;  // That may be written now; refilled with time.
-  base::Instant refilled_;
-  uint64_t suppressed_ = 0;  // Lines since the last one written.
+  std::atomic<uint64_t> seen_{0};
 };
 
+// Writes what this node did for another one's request, if services are missing.
+void LogDelegatedWork(const LeafAnswer& answer, LineLimiter& lines);
+
 // One attempt in words, for the log line of its request.
 std::string DescribeAttempt(const AttemptRecord& attempt);
 
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -16,6 +16,13 @@
 using upstream::ShardFailure;
 using upstream::ShardOutcome;
 
+namespace {
+
+// Before an objective that is nearer than this nothing is handed on.
+constexpr base::Duration kLeastDelegatedTime = std::chrono::milliseconds(15);
+
+}  // namespace
+
 LeafExecution::LeafExecution(
     std::shared_ptr<const LeafDependencies> dependencies,
     const LeafRules& rules,
@@ -32,17 +39,120 @@
 
 void LeafExecution::Start() {
   Completion completion;
+  std::vector<DelegatedWork> plan;
   {
     const std::lock_guard lock(mutex_);
     PrepareRuns();
-    for (ServiceRun& run : runs_)
-      StartPrimary(run);
+    plan = PlanDelegated();
+    for (ServiceRun& run : runs_) {
+      if (!run.delegated)
+        StartPrimary(run);
+    }
     ArmTimers();
     completion = CompleteIfDone();
   }
+  SendDelegated(plan);
   completion.Run();
 }
 
+std::vector<DelegatedWork> LeafExecution::PlanDelegated() {
+  const bool may_delegate =
+      dependencies_->delegation && upstream_ && request_.forward &&
+      request_.forward->top_records > 0 &&
+      request_.forward->origin == RequestOrigin::kCaller &&
+      request_.forward->objective > kLeastDelegatedTime;
+  if (!may_delegate)
+    return {};
+  auto plan = PlanDelegation(*upstream_, request_.work,
+                             dependencies_->availability_zone,
+                             dependencies_->delegation->node_in);
+  for (const DelegatedWork& work : plan) {
+    for (const size_t run : work.runs)
+      runs_[run].delegated = true;
+    AttemptRecord record;
+    record.service = std::to_string(work.runs.size()) + " services";
+    record.server = work.node_id;
+    record.kind = AttemptKind::kDelegated;
+    record.result = "handed on";
+    answer_.attempts.push_back(std::move(record));
+    // Attempts are numbered by their records.
+    ++next_attempt_;
+  }
+  return plan;
+}
+
+void LeafExecution::SendDelegated(const std::vector<DelegatedWork>& plan) {
+  if (plan.empty())
+    return;
+  const auto objective = std::chrono::duration_cast<base::Duration>(
+      request_.forward->objective * rules_.delegated_share);
+  for (const DelegatedWork& work : plan) {
+    const LeafRequest delegated =
+        MakeDelegatedRequest(request_, work, objective);
+    dependencies_->delegation->leaves.Execute(
+        work.node_id, delegated,
+        [self = shared_from_this(), delegated, work](auto answer) {
+          self->OnDelegated(delegated, work, std::move(answer));
+        });
+  }
+}
+
+void LeafExecution::OnDelegated(const LeafRequest& asked,
+                                const DelegatedWork& work,
+                                base::Result<LeafAnswer> answer) {
+  Completion completion;
+  {
+    const std::lock_guard lock(mutex_);
+    const bool is_valid = answer && IsAnswerToDelegated(*answer, asked);
+    RecordDelegated(work,
+                    answer ? std::to_string(answer->parts.size()) + " answered"
+                           : answer.error().message());
+    if (is_valid) {
+      answer_.load = answer_.load + answer->load;
+      for (ForwardedPart& part : answer->parts) {
+        ServiceRun& run = *std::ranges::find_if(runs_, [&](const auto& other) {
+          return other.work->service == part.service;
+        });
+        if (!run.delegated)
+          continue;
+        run.delegated = false;
+        answer_.parts.push_back(std::move(part));
+        Finish(run);
+      }
+    }
+    const bool was_called = !is_valid || answer->load.sent() > 0;
+    for (const size_t index : work.runs) {
+      if (runs_[index].delegated)
+        TakeBack(runs_[index], was_called);
+    }
+    completion = CompleteIfDone();
+  }
+  completion.Run();
+}
+
+void LeafExecution::RecordDelegated(const DelegatedWork& work,
+                                    std::string result) {
+  for (AttemptRecord& record : answer_.attempts) {
+    if (record.kind != AttemptKind::kDelegated ||
+        record.server != work.node_id || record.took)
+      continue;
+    record.took = Now() - started_;
+    record.result = std::move(result);
+    return;
+  }
+}
+
+void LeafExecution::TakeBack(ServiceRun& run, bool was_called) {
+  run.delegated = false;
+  if (!was_called) {
+    StartPrimary(run);
+    return;
+  }
+  // NOTE: The other node may have used up the attempts.
+  run.run_state = RunState::kMayHaveRun;
+  Abandon(run, MissingReason::kTimeout);
+}
+
 void LeafExecution::Cancel() {
   Completion completion;
   {
@@ -81,8 +191,10 @@
   const auto delay = HedgeDelay();
   if (!delay)
     return;
-  for (ServiceRun& run : runs_)
-    run.check_due = Now() + *delay;
+  for (ServiceRun& run : runs_) {
+    if (!run.delegated)
+      run.check_due = Now() + *delay;
+  }
   ArmCheckTimer();
 }
 
@@ -211,6 +323,8 @@
     case AttemptKind::kRetry:
       ++answer_.load.retries;
       break;
+    case AttemptKind::kDelegated:
+      break;
   }
 }
 
@@ -432,6 +546,7 @@
   if (run.HasOpenAttempt())
     run.run_state = RunState::kMayHaveRun;
   CloseAttempts(run);
+  run.delegated = false;
   for (const uint32_t shard : run.work->shards)
     answer_.missing.push_back({shard, reason});
   Finish(run);
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -46,6 +46,15 @@
   };
 
   void PrepareRuns();
+  // Hands on what other nodes are nearer to; called without the lock.
+  void SendDelegated(const std::vector<DelegatedWork>& plan);
+  std::vector<DelegatedWork> PlanDelegated();
+  void OnDelegated(const LeafRequest& asked,
+                   const DelegatedWork& work,
+                   base::Result<LeafAnswer> answer);
+  void RecordDelegated(const DelegatedWork& work, std::string result);
+  // The service is called from here after all.
+  void TakeBack(ServiceRun& run, bool was_called);
   void ArmTimers();
   void ArmCheckTimer();
   void StartPrimary(ServiceRun& run);
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -10,6 +10,7 @@
 #include "LibBase/random.h"
 #include "LibBase/scheduler.h"
 #include "LibConfig/configuration.h"
+#include "LibQuery/delegation.h"
 #include "LibQuery/leaf_message.h"
 #include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/hedge_policy.h"
@@ -35,6 +36,9 @@
   // Share of its objective after which a forwarded request is hedged while too
   // few answers were seen to know its latency.
   double blind_hedge_share = 0.3;
+  // Share of the time until a request's objective within which other nodes
+  // answer for their part; the rest is for the way back.
+  double delegated_share = 0.9;
   // What a call to a server in another availability zone costs, as the time
   // that a caller may wait longer to avoid it.
   base::Duration remote_cost{};
@@ -56,6 +60,8 @@
   std::function<int(const config::Upstream&)> connections_per_node;
   // Of this node; empty where the way to a server does not matter.
   std::string availability_zone = {};
+  // Set where nodes may take work for each other.
+  std::optional<Delegation> delegation = std::nullopt;
 };
 
 using UpstreamPtr = std::shared_ptr<const config::Upstream>;
--- a/Libraries/LibQuery/leaf_message.cc
+++ b/Libraries/LibQuery/leaf_message.cc
@@ -26,6 +26,17 @@
   return "timeout";
 }
 
+LeafAnswer AnswerWithNothing(const LeafRequest& request, MissingReason reason) {
+  LeafAnswer answer;
+  answer.request_id = request.request_id;
+  answer.version = request.version;
+  for (const ServiceShards& work : request.work) {
+    for (const uint32_t shard : work.shards)
+      answer.missing.push_back({shard, reason});
+  }
+  return answer;
+}
+
 bool IsAnswerTo(const LeafAnswer& answer, const LeafRequest& request) {
   if (answer.request_id != request.request_id ||
       answer.version != request.version)
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -42,6 +42,9 @@
   bool operator==(const ServiceShards&) const = default;
 };
 
+// Who a node runs a forwarded request for.
+enum class RequestOrigin : uint8_t { kCaller, kNode };
+
 // How a forwarded request may be run.
 struct ForwardTerms {
   upstream::ForwardedRequestPtr request;
@@ -52,6 +55,10 @@
   // if they make up `least_share`; zero waits for all until the deadline.
   base::Duration objective{};
   double least_share = 1;
+  // Records of the merged answer; zero where answers are not merged.
+  size_t top_records = 0;
+  // Work for another node is not handed on once more.
+  RequestOrigin origin = RequestOrigin::kCaller;
 
   bool operator==(const ForwardTerms&) const = default;
 };
@@ -66,8 +73,7 @@
   std::string query;
   base::Duration time_left{};
   double extra_load_share = 0;
-  // Set for a forwarded request, which `query` then does not hold. It runs on
-  // the node that took it and is never sent to another leaf.
+  // Set for a forwarded request, which `query` then does not hold.
   std::optional<ForwardTerms> forward = std::nullopt;
 
   bool operator==(const LeafRequest&) const = default;
@@ -80,6 +86,7 @@
   uint64_t retries = 0;
 
   uint64_t extra() const { return hedges + retries; }
+  uint64_t sent() const { return primary + extra(); }
   LoadCount operator+(const LoadCount& other) const {
     return {primary + other.primary, hedges + other.hedges,
             retries + other.retries};
@@ -95,7 +102,8 @@
   bool operator==(const ForwardedPart&) const = default;
 };
 
-enum class AttemptKind : uint8_t { kPrimary, kHedge, kRetry };
+// A delegated attempt is a node's, at all services that it was asked for.
+enum class AttemptKind : uint8_t { kPrimary, kHedge, kRetry, kDelegated };
 
 // What became of one attempt at a forwarded request, for the log.
 struct AttemptRecord {
@@ -136,6 +144,9 @@
   bool operator==(const LeafAnswer&) const = default;
 };
 
+// The answer where no service can be asked.
+LeafAnswer AnswerWithNothing(const LeafRequest& request, MissingReason reason);
+
 // Whether `answer` belongs to `request` and names each of its shards once.
 bool IsAnswerTo(const LeafAnswer& answer, const LeafRequest& request);
 
--- a/Libraries/LibQuery/service_run.cc
+++ b/Libraries/LibQuery/service_run.cc
@@ -9,7 +9,7 @@
 using upstream::ShardFailure;
 
 bool ServiceRun::HasOpenAttempt() const {
-  return std::ranges::any_of(attempts, &Attempt::open);
+  return delegated || std::ranges::any_of(attempts, &Attempt::open);
 }
 
 bool ServiceRun::HasTried(const std::string& server) const {
--- a/Libraries/LibQuery/service_run.h
+++ b/Libraries/LibQuery/service_run.h
@@ -33,11 +33,13 @@
   // Attempts that never reached a server, as far as this node can tell.
   int unsent = 0;
   bool hedged = false;
+  bool delegated = false;  // Another node calls the servers now.
   std::optional<base::Instant> check_due;  // Of attempts that are still open.
   MissingReason last_failure = MissingReason::kNoServer;
   RunState run_state = RunState::kNotRun;
   bool done = false;
 
+  // Delegated ones included.
   bool HasOpenAttempt() const;
   // Lost attempts tell nothing of a server.
   bool HasTried(const std::string& server) const;
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -15,10 +15,6 @@
 constexpr base::Duration kLongDeadline = std::chrono::milliseconds(400);
 constexpr base::Duration kObjective = std::chrono::milliseconds(80);
 
-std::string PeerAddress(int node) {
-  return "10.0.0." + std::to_string(node + 1) + ":1";
-}
-
 config::Route MakeRoute(const std::string& name, const std::string& prefix) {
   config::Route route;
   route.name = name;
@@ -103,6 +99,10 @@
 
 ForwardTier::~ForwardTier() = default;
 
+std::string ForwardTier::PeerAddress(int node) {
+  return "10.0.0." + std::to_string(node + 1) + ":1";
+}
+
 std::unique_ptr<ForwardTier::Process> ForwardTier::MakeProcess(int node) {
   auto process = std::make_unique<Process>(*this, node);
   node::ForwardSettings settings;
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -42,6 +42,7 @@
   void DropWaiting(const std::string&) override {}
 
   int cancelled() const { return cancelled_; }
+  uint64_t started() const { return next_id_ - 1; }
 
  private:
   std::map<std::string, ServerScript>& scripts_;
@@ -77,6 +78,7 @@
   CallLog& log() { return log_; }
   ForwardTransport& transport(int node);
   Wires& wires() { return wires_; }
+  static std::string PeerAddress(int node);
   static std::string NodeName(int node) { return "n" + std::to_string(node); }
 
   config::Repeatability repeatability = config::Repeatability::kIdempotent;
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -172,6 +172,37 @@
   CHECK(tier.core(1).CallerAddresses(2).size() == 2);
 }
 
+// Nodes 1 and 3 are in a zone without servers.
+TEST_CASE("servers of another zone are called by a node there") {
+  const auto tier = MakeTier();
+  const auto answer = tier->Ask(1, "/all/x", milliseconds(80));
+  REQUIRE(answer);
+  CHECK(answer->merged.missing == 0);
+  CHECK(answer->merged.signatures.size() == kServices);
+  CHECK(answer->merged.records.size() == 16 * kServices);
+  CHECK(tier->transport(1).started() == 0);
+  CHECK(tier->transport(0).started() + tier->transport(2).started() ==
+        kServices);
+}
+
+TEST_CASE("work under another configuration is not done for others") {
+  const auto tier = MakeTier();
+  query::LeafRequest request;
+  request.request_id = "r";
+  request.upstream = "all";
+  request.version = 2;
+  request.work = {{0, {0}}};
+  request.time_left = kWholeTime;
+  request.forward =
+      query::ForwardTerms{std::make_shared<upstream::ForwardedRequest>()};
+  std::optional<query::LeafAnswer> answer;
+  tier->core(0).ExecuteLeaf(request, [&](auto given) { answer = given; });
+  tier->RunFor(kWholeTime);
+  REQUIRE(answer);
+  CHECK(answer->missing.front().reason == query::MissingReason::kVersionGone);
+  CHECK(tier->transport(0).started() == 0);
+}
+
 TEST_CASE("one node of each availability zone watches the store") {
   const auto tier = MakeTier();
   const uint64_t before = tier->store().calls;
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -20,10 +20,28 @@
 constexpr base::Duration kTime = milliseconds(800);
 constexpr int kManyAnswers = 100;  // Enough to know the usual latency.
 
+// Nodes that do work for others as a test says.
+class FakeLeaves final : public LeafClient {
+ public:
+  void Execute(const std::string&,
+               const LeafRequest& request,
+               Callback callback) override {
+    asked.push_back(request);
+    callbacks.push_back(std::move(callback));
+  }
+  void CheckLiveness(const std::string&,
+                     base::Duration,
+                     LivenessCallback) override {}
+
+  std::vector<LeafRequest> asked;
+  std::vector<Callback> callbacks;
+};
+
 // One upstream with `services` services of three servers each.
 class Leaf {
  public:
-  explicit Leaf(uint32_t services) {
+  explicit Leaf(uint32_t services, std::string own_zone = "zone")
+      : own_zone_(std::move(own_zone)) {
     base::DisableLog();
     upstream_->name = "search";
     upstream_->slots = 2;
@@ -56,9 +74,11 @@
 
   fakes::VirtualScheduler scheduler;
   fakes::ScriptedTransport transport;
+  FakeLeaves leaves;
   std::optional<LeafAnswer> answer;  // Of the last request.
 
  private:
+  const std::string own_zone_;
   std::shared_ptr<config::Upstream> upstream_ =
       std::make_shared<config::Upstream>();
   base::SeededRandom random_{1};
@@ -68,7 +88,10 @@
   upstream::TokenExtraLoadBudget budget_{0};
   LeafExecutor executor_{
       {scheduler, random_, transport, servers_, hedges_, budget_,
-       [](const std::string&) {}, [](const config::Upstream&) { return 4; }},
+       [](const std::string&) {}, [](const config::Upstream&) { return 4; },
+       own_zone_,
+       Delegation{leaves,
+                  [](const std::string&) { return std::string("peer"); }}},
       {}};
   int next_request_ = 0;
 };
@@ -139,6 +162,66 @@
   CHECK(leaf.answer->attempts.front().obstacle == "may have run");
 }
 
+ForwardTerms MergedTerms() {
+  ForwardTerms terms;
+  terms.request = std::make_shared<upstream::ForwardedRequest>();
+  terms.max_attempts = 2;
+  terms.objective = milliseconds(80);
+  terms.least_share = 0.5;
+  terms.top_records = 5;
+  return terms;
+}
+
+TEST_CASE("what a node refused to do for another is called from here") {
+  Leaf leaf(4, "far");
+  leaf.Execute(MergedTerms());
+  REQUIRE(leaf.leaves.asked.size() == 1);
+  const LeafRequest& asked = leaf.leaves.asked.front();
+  CHECK(asked.work.size() == 4);
+  CHECK(asked.forward->objective < milliseconds(80));
+  CHECK(asked.forward->least_share == 0.5);
+  CHECK(leaf.transport.calls.empty());
+  leaf.leaves.callbacks.front()(
+      AnswerWithNothing(asked, MissingReason::kVersionGone));
+  CHECK(leaf.transport.calls.size() == 4);
+}
+
+TEST_CASE("what a silent node may have called is not called once more") {
+  Leaf leaf(4, "far");
+  leaf.Execute(MergedTerms());
+  leaf.scheduler.RunFor(kTime);
+  CHECK(leaf.transport.calls.empty());
+  REQUIRE(leaf.answer);
+  CHECK(leaf.answer->missing.size() == 4);
+  CHECK(leaf.answer->run_state == RunState::kMayHaveRun);
+}
+
+TEST_CASE("parts of another node and own parts make up one answer") {
+  Leaf leaf(4, "far");
+  leaf.Execute(MergedTerms());
+  LeafAnswer given =
+      AnswerWithNothing(leaf.leaves.asked.front(), MissingReason::kTimeout);
+  given.load.primary = 4;
+  for (uint32_t service = 0; service < 3; ++service)
+    given.parts.push_back(
+        {service, std::make_shared<upstream::ForwardedReply>()});
+  leaf.leaves.callbacks.front()(given);
+  REQUIRE(leaf.answer);
+  CHECK(leaf.answer->parts.size() == 3);
+  REQUIRE(leaf.answer->missing.size() == 1);
+  CHECK(leaf.answer->missing.front().shard == 3);
+  CHECK(leaf.answer->load.primary == 4);
+}
+
+TEST_CASE("work for another node is not handed on") {
+  Leaf leaf(4, "far");
+  ForwardTerms terms = MergedTerms();
+  terms.origin = RequestOrigin::kNode;
+  leaf.Execute(terms);
+  CHECK(leaf.leaves.asked.empty());
+  CHECK(leaf.transport.calls.size() == 4);
+}
+
 TEST_CASE("cancelling ends all calls at once") {
   Leaf leaf(3);
   const LeafRunPtr run = leaf.Execute();
