LibNode: Hold removals of servers for 2 s after the store was away

Cause (open in docs/PLATFORM.md): entries lapse while the store is away. Their removal took effect at once, so that a service whose entries had all lapsed had no server until they were written anew, up to 2 s later. Ruled out: holding every removal. Servers may leave without draining first, and get work for `drain_ms` only, 3 s with the way to all nodes. Change: while a living node has no answers of the store, and for 2 s after, a removal counts 2 s later; a newer entry makes it void by its revision. An outage that no node notices, shorter than a watch, holds nothing.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -31,6 +31,9 @@
 constexpr double kNearServiceShare = 0.5;
 // Of the nodes: callers are not crowded onto fewer.
 constexpr double kLeastNodeShare = 0.6;
+// After the store's return. Servers that live have written their entries anew
+// within about this time, by the platform's word.
+constexpr base::Duration kRemovalHold = std::chrono::seconds(2);
 constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(100);
 // Nodes that a server's connections are split among, at least: holders under
 // an old view and under a new one stay within the limit together.
@@ -220,7 +223,27 @@
               {{"key", event.key}, {"reason", claim.error().ToString()}});
     return;
   }
-  facts_.Offer(ToFact(*claim));
+  // NOTE: Entries lapse while the store is away. A server that lives has a
+  // newer entry soon, which makes this one void.
+  if (claim->server || !IsStoreDisturbed())
+    facts_.Offer(ToFact(*claim));
+  else
+    world_.scheduler.After(
+        kRemovalHold, [this, claim = *claim] { facts_.Offer(ToFact(claim)); });
+}
+
+// Whether some living node has no answers of the store, or had none a moment
+// ago.
+bool ForwardCore::IsStoreDisturbed() {
+  const auto view = views_.Current();
+  const std::lock_guard lock(store_mutex_);
+  const bool is_silent =
+      std::ranges::any_of(nodes_without_store_, [&](const std::string& node) {
+        const membership::Member* member = view->FindMember(node);
+        return member && member->is_usable();
+      });
+  return is_silent ||
+         world_.scheduler.Now() < store_undisturbed_since_ + kRemovalHold;
 }
 
 void ForwardCore::OnFact(const membership::Fact& fact) {
@@ -259,8 +282,8 @@
   const std::lock_guard lock(store_mutex_);
   if (fact.value == kSilentStore)
     nodes_without_store_.insert(node);
-  else
-    nodes_without_store_.erase(node);
+  else if (nodes_without_store_.erase(node) > 0)
+    store_undisturbed_since_ = world_.scheduler.Now();
 }
 
 bool ForwardCore::IsWatcher(const std::string& task) {
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -124,6 +124,7 @@
   void OnConfiguration(const config::Manifest& manifest);
   void OnStoreHealth(platform::StoreHealth health);
   void OnPeerStoreHealth(const membership::Fact& fact);
+  bool IsStoreDisturbed();
   // Whether this node follows the store for its availability zone.
   bool IsWatcher(const std::string& task);
   void RefreshView();
@@ -160,7 +161,8 @@
   std::mutex store_mutex_;
   // Nodes that the store does not answer; guarded by `store_mutex_`.
   std::set<std::string> nodes_without_store_;
-  uint64_t store_health_changes_ = 0;  // Of this node; as above.
+  base::Instant store_undisturbed_since_{};  // As above.
+  uint64_t store_health_changes_ = 0;        // Of this node; as above.
 
   std::atomic<base::Instant> configuration_since_{};
   std::atomic<size_t> running_{0};
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -109,6 +109,29 @@
   CHECK(WasCalled(tier->log(), "zs0"));
 }
 
+TEST_CASE("an entry that lapsed during an outage may come back for 2 s") {
+  const auto tier = MakeTier();
+  tier->store().outage = true;
+  tier->RunFor(seconds(6));
+  for (const char* server : {"xs0", "ys0", "zs0"})
+    tier->RemoveServer(server);
+  tier->store().outage = false;
+  int served = 0;
+  for (int i = 0; i < 20; ++i) {
+    if (i == 3)
+      tier->PutServer("xs0", "s0");
+    const auto answer = tier->Ask(i % kNodes, "/one/x", milliseconds(400));
+    served += answer->outcome == ForwardOutcome::kRelayed ? 1 : 0;
+  }
+  CHECK(served == 20);
+  tier->log().clear();
+  for (int i = 0; i < 20; ++i)
+    tier->Ask(i % kNodes, "/one/x", milliseconds(100));
+  CHECK(WasCalled(tier->log(), "xs0"));
+  CHECK_FALSE(WasCalled(tier->log(), "ys0"));
+  CHECK_FALSE(WasCalled(tier->log(), "zs0"));
+}
+
 TEST_CASE(
     "a request that must run once is not repeated unless it has not run") {
   const auto tier = MakeTier();
