--- a/Benchmarks/tier_bench.cc
+++ b/Benchmarks/tier_bench.cc
@@ -188,8 +188,6 @@
 
 Checks RunOverload(const Setting& setting) {
   const auto ours = Measure(setting, kOurs, NoFault, 2.0);
-  const double offered =
-      2.0 * CapacityOf(setting.deployment) * base::ToSeconds(setting.window);
   const double capacity =
       CapacityOf(setting.deployment) * base::ToSeconds(setting.window);
   double whole = 0;
--- /dev/null
+++ b/Libraries/LibQuery/candidates.cc
@@ -0,0 +1,42 @@
+// Servers of a service that were not tried yet, and the choice among them.
+
+#include "LibQuery/candidates.h"
+
+#include <utility>
+
+namespace query {
+
+using upstream::ServerView;
+
+// Servers that are unreachable or in trouble serve only where no other is left.
+Candidates FindCandidates(const LeafDependencies& dependencies,
+                          const ServiceRun& run) {
+  Candidates usable;
+  Candidates doubtful;
+  if (!run.service)
+    return usable;
+  const base::Instant now = dependencies.scheduler.Now();
+  for (const config::Server& server : run.service->servers) {
+    ServerView view = dependencies.servers.View(server.identity(), now);
+    if (run.HasTried(server.identity()) || view.is_leaving)
+      continue;
+    view.is_remote = !dependencies.availability_zone.empty() &&
+                     server.availability_zone != dependencies.availability_zone;
+    Candidates& list = view.is_unreachable ? doubtful : usable;
+    list.servers.push_back(&server);
+    list.views.push_back(std::move(view));
+  }
+  return usable.servers.empty() ? doubtful : usable;
+}
+
+size_t ChooseReplica(const LeafDependencies& dependencies,
+                     const LeafRules& rules,
+                     int slots,
+                     const std::vector<ServerView>& views) {
+  if (rules.replica_choice == ReplicaChoice::kRandom)
+    return upstream::RandomReplicaPolicy().Choose(views, dependencies.random);
+  return upstream::LeastExpectedWaitPolicy(slots, rules.remote_cost)
+      .Choose(views, dependencies.random);
+}
+
+}  // namespace query
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -35,13 +35,13 @@
       request_(std::move(request)),
       callback_(std::move(callback)),
       started_(dependencies_->scheduler.Now()),
-      deadline_(started_ + request_.time_left) {}
+      deadline_(started_ + request_.time_left),
+      log_(request_.forward ? AttemptLog::Mode::kOn : AttemptLog::Mode::kOff,
+           started_) {}
 
 void LeafExecution::Start() {
-  Completion completion;
   std::vector<DelegatedWork> plan;
-  {
-    const std::lock_guard lock(mutex_);
+  Update([&] {
     PrepareRuns();
     plan = PlanDelegated();
     for (ServiceRun& run : runs_) {
@@ -49,10 +49,8 @@
         StartPrimary(run);
     }
     ArmTimers();
-    completion = CompleteIfDone();
-  }
+  });
   SendDelegated(plan);
-  completion.Run();
 }
 
 std::vector<DelegatedWork> LeafExecution::PlanDelegated() {
@@ -69,14 +67,7 @@
   for (const DelegatedWork& work : plan) {
     for (const size_t run : work.runs)
       runs_[run].delegated = true;
-    AttemptRecord record;
-    record.service = std::to_string(work.runs.size()) + " services";
-    record.server = work.node_id;
-    record.kind = AttemptKind::kDelegated;
-    record.result = "handed on";
-    answer_.attempts.push_back(std::move(record));
-    // Attempts are numbered by their records.
-    ++next_attempt_;
+    log_.OnHandedOn(work);
   }
   return plan;
 }
@@ -100,45 +91,33 @@
 void LeafExecution::OnDelegated(const LeafRequest& asked,
                                 const DelegatedWork& work,
                                 base::Result<LeafAnswer> answer) {
-  Completion completion;
-  {
-    const std::lock_guard lock(mutex_);
+  Update([&] {
     const bool is_valid = answer && IsAnswerToDelegated(*answer, asked);
-    RecordDelegated(work,
-                    answer ? std::to_string(answer->parts.size()) + " answered"
-                           : answer.error().message());
-    if (is_valid) {
-      answer_.load = answer_.load + answer->load;
-      for (ForwardedPart& part : answer->parts) {
-        ServiceRun& run = *std::ranges::find_if(runs_, [&](const auto& other) {
-          return other.work->service == part.service;
-        });
-        if (!run.delegated)
-          continue;
-        run.delegated = false;
-        answer_.parts.push_back(std::move(part));
-        Finish(run);
-      }
-    }
+    log_.OnHandedBack(work, Now(),
+                      answer
+                          ? std::to_string(answer->parts.size()) + " answered"
+                          : answer.error().message());
     const bool was_called = !is_valid || answer->load.sent() > 0;
+    if (is_valid)
+      AcceptDelegated(*std::move(answer));
     for (const size_t index : work.runs) {
       if (runs_[index].delegated)
         TakeBack(runs_[index], was_called);
     }
-    completion = CompleteIfDone();
-  }
-  completion.Run();
+  });
 }
 
-void LeafExecution::RecordDelegated(const DelegatedWork& work,
-                                    std::string result) {
-  for (AttemptRecord& record : answer_.attempts) {
-    if (record.kind != AttemptKind::kDelegated ||
-        record.server != work.node_id || record.took)
+void LeafExecution::AcceptDelegated(LeafAnswer answer) {
+  answer_.load = answer_.load + answer.load;
+  for (ForwardedPart& part : answer.parts) {
+    ServiceRun& run = *std::ranges::find_if(runs_, [&](const auto& other) {
+      return other.work->service == part.service;
+    });
+    if (!run.delegated)
       continue;
-    record.took = Now() - started_;
-    record.result = std::move(result);
-    return;
+    run.delegated = false;
+    answer_.parts.push_back(std::move(part));
+    Finish(run);
   }
 }
 
@@ -154,10 +133,14 @@
 }
 
 void LeafExecution::Cancel() {
+  Update([this] { AbandonAll(); });
+}
+
+void LeafExecution::Update(const std::function<void()>& change) {
   Completion completion;
   {
     const std::lock_guard lock(mutex_);
-    AbandonAll();
+    change();
     completion = CompleteIfDone();
   }
   completion.Run();
@@ -214,34 +197,6 @@
     Abandon(run, MissingReason::kNoServer);
 }
 
-// Servers that are unreachable or in trouble serve only where no other is left.
-LeafExecution::Candidates LeafExecution::CandidatesOf(const ServiceRun& run) {
-  Candidates usable;
-  Candidates doubtful;
-  if (!run.service)
-    return usable;
-  for (const config::Server& server : run.service->servers) {
-    ServerView view = dependencies_->servers.View(server.identity(), Now());
-    if (run.HasTried(server.identity()) || view.is_leaving)
-      continue;
-    view.is_remote =
-        !dependencies_->availability_zone.empty() &&
-        server.availability_zone != dependencies_->availability_zone;
-    Candidates& list = view.is_unreachable ? doubtful : usable;
-    list.servers.push_back(&server);
-    list.views.push_back(std::move(view));
-  }
-  return usable.servers.empty() ? doubtful : usable;
-}
-
-size_t LeafExecution::ChooseReplica(const std::vector<ServerView>& candidates) {
-  if (rules_.replica_choice == ReplicaChoice::kRandom)
-    return upstream::RandomReplicaPolicy().Choose(candidates,
-                                                  dependencies_->random);
-  return upstream::LeastExpectedWaitPolicy(upstream_->slots, rules_.remote_cost)
-      .Choose(candidates, dependencies_->random);
-}
-
 bool LeafExecution::MayStart(const ServiceRun& run) const {
   const int limit =
       request_.forward ? request_.forward->max_attempts : rules_.max_attempts;
@@ -251,13 +206,14 @@
 bool LeafExecution::StartAttempt(ServiceRun& run, AttemptKind kind) {
   if (!MayStart(run))
     return false;
-  const Candidates candidates = CandidatesOf(run);
+  const Candidates candidates = FindCandidates(*dependencies_, run);
   if (candidates.servers.empty())
     return false;
-  const size_t choice = ChooseReplica(candidates.views);
+  const size_t choice =
+      ChooseReplica(*dependencies_, rules_, upstream_->slots, candidates.views);
   const config::Server& chosen = *candidates.servers[choice];
   const ServerView& view = candidates.views[choice];
-  Count(kind);
+  answer_.load.Add(kind);
   Attempt attempt{next_attempt_++, chosen.identity(), upstream::CallId::kNone,
                   Now()};
   const ShardCall call{request_.request_id,
@@ -271,7 +227,8 @@
   const upstream::ServerTarget target{
       chosen.address, dependencies_->connections_per_node(*upstream_),
       chosen.instance};
-  Record(run, attempt, kind, view, candidates.servers.size());
+  log_.OnBegin(run.service->name, attempt, kind, view,
+               candidates.servers.size());
   dependencies_->servers.OnCallStarted(attempt.server, Now());
   const size_t run_index = static_cast<size_t>(&run - runs_.data());
   attempt.call = dependencies_->transport.Start(
@@ -283,57 +240,10 @@
   return true;
 }
 
-void LeafExecution::Record(const ServiceRun& run,
-                           const Attempt& attempt,
-                           AttemptKind kind,
-                           const ServerView& view,
-                           size_t candidates) {
-  if (!request_.forward)
-    return;
-  AttemptRecord record;
-  record.service = run.service->name;
-  record.server = attempt.server;
-  record.kind = kind;
-  record.started = Now() - started_;
-  record.outstanding = view.outstanding;
-  record.expected_latency = view.latency;
-  record.silence = view.silence;
-  record.failure_share = view.failure_share;
-  record.candidates = candidates;
-  answer_.attempts.push_back(std::move(record));
-}
-
-void LeafExecution::RecordEnd(const Attempt& attempt, std::string result) {
-  if (!request_.forward)
-    return;
-  // Attempts are numbered from 1 in the order in which they began.
-  AttemptRecord& record = answer_.attempts[attempt.number - 1];
-  record.took = Now() - attempt.started;
-  record.result = std::move(result);
-}
-
-void LeafExecution::Count(AttemptKind kind) {
-  switch (kind) {
-    case AttemptKind::kPrimary:
-      ++answer_.load.primary;
-      break;
-    case AttemptKind::kHedge:
-      ++answer_.load.hedges;
-      break;
-    case AttemptKind::kRetry:
-      ++answer_.load.retries;
-      break;
-    case AttemptKind::kDelegated:
-      break;
-  }
-}
-
 void LeafExecution::OnOutcome(size_t run_index,
                               const ShardCall& call,
                               ShardOutcome outcome) {
-  Completion completion;
-  {
-    const std::lock_guard lock(mutex_);
+  Update([&] {
     ServiceRun& run = runs_[run_index];
     const auto attempt =
         std::ranges::find(run.attempts, call.attempt, &Attempt::number);
@@ -347,9 +257,7 @@
       Accept(run, std::move(*outcome));
     else
       OnFailure(run, *attempt, outcome.error());
-    completion = CompleteIfDone();
-  }
-  completion.Run();
+  });
 }
 
 // Turns what is no answer to `call`, or a server's own error, into a failure.
@@ -377,9 +285,10 @@
 void LeafExecution::NoteEnd(const Attempt& attempt,
                             const ShardOutcome& outcome) {
   const base::Duration elapsed = Now() - attempt.started;
-  RecordEnd(attempt,
-            outcome ? "answered"
-                    : std::string(upstream::ShardFailureName(outcome.error())));
+  log_.OnEnd(attempt, Now(),
+             outcome
+                 ? "answered"
+                 : std::string(upstream::ShardFailureName(outcome.error())));
   dependencies_->servers.OnCallEnded(
       attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
       Now());
@@ -421,8 +330,7 @@
     obstacle = "no server left";
   if (obstacle.empty())
     return;
-  if (request_.forward)
-    answer_.attempts[number - 1].obstacle = obstacle;
+  log_.OnObstacle(number, obstacle);
   Abandon(run, run.last_failure);
 }
 
@@ -483,7 +391,8 @@
 }
 
 bool LeafExecution::Hedge(ServiceRun& run) {
-  return MayStart(run) && !CandidatesOf(run).servers.empty() &&
+  return MayStart(run) &&
+         !FindCandidates(*dependencies_, run).servers.empty() &&
          dependencies_->budget.TrySpend(run.account) &&
          StartAttempt(run, AttemptKind::kHedge);
 }
@@ -526,13 +435,7 @@
 }
 
 void LeafExecution::OnObjective() {
-  Completion completion;
-  {
-    const std::lock_guard lock(mutex_);
-    is_objective_over_ = true;
-    completion = CompleteIfDone();
-  }
-  completion.Run();
+  Update([this] { is_objective_over_ = true; });
 }
 
 void LeafExecution::AbandonAll() {
@@ -561,7 +464,7 @@
 
 void LeafExecution::CloseAttempt(Attempt& attempt) {
   attempt.open = false;
-  RecordEnd(attempt, "abandoned");
+  log_.OnEnd(attempt, Now(), "abandoned");
   dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
                                      Now() - attempt.started, Now());
   dependencies_->transport.Cancel(attempt.call);
@@ -588,6 +491,7 @@
   dependencies_->scheduler.Cancel(deadline_timer_);
   dependencies_->scheduler.Cancel(objective_timer_);
   dependencies_->scheduler.Cancel(check_timer_);
+  answer_.attempts = log_.Take();
   return {std::exchange(callback_, nullptr), std::move(answer_)};
 }
 
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -3,6 +3,7 @@
 #ifndef LIBQUERY_LEAF_EXECUTION_H_
 #define LIBQUERY_LEAF_EXECUTION_H_
 
+#include <functional>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -10,6 +11,8 @@
 #include <string_view>
 #include <vector>
 
+#include "LibQuery/attempt_log.h"
+#include "LibQuery/candidates.h"
 #include "LibQuery/leaf_executor.h"
 #include "LibQuery/service_run.h"
 
@@ -39,12 +42,9 @@
         callback(std::move(answer));
     }
   };
-  // Servers that may get another attempt; equally long.
-  struct Candidates {
-    std::vector<const config::Server*> servers;
-    std::vector<upstream::ServerView> views;
-  };
 
+  // Changes the state under the lock, and completes if that ends the request.
+  void Update(const std::function<void()>& change);
   void PrepareRuns();
   // Hands on what other nodes are nearer to; called without the lock.
   void SendDelegated(const std::vector<DelegatedWork>& plan);
@@ -52,23 +52,14 @@
   void OnDelegated(const LeafRequest& asked,
                    const DelegatedWork& work,
                    base::Result<LeafAnswer> answer);
-  void RecordDelegated(const DelegatedWork& work, std::string result);
+  void AcceptDelegated(LeafAnswer answer);
   // The service is called from here after all.
   void TakeBack(ServiceRun& run, bool was_called);
   void ArmTimers();
   void ArmCheckTimer();
   void StartPrimary(ServiceRun& run);
-  Candidates CandidatesOf(const ServiceRun& run);
-  size_t ChooseReplica(const std::vector<upstream::ServerView>& candidates);
   bool MayStart(const ServiceRun& run) const;
   bool StartAttempt(ServiceRun& run, AttemptKind kind);
-  void Record(const ServiceRun& run,
-              const Attempt& attempt,
-              AttemptKind kind,
-              const upstream::ServerView& view,
-              size_t candidates);
-  void RecordEnd(const Attempt& attempt, std::string result);
-  void Count(AttemptKind kind);
   void OnOutcome(size_t run_index,
                  const upstream::ShardCall& call,
                  upstream::ShardOutcome outcome);
@@ -113,6 +104,7 @@
   size_t open_runs_ = 0;          // Runs that are not done.
   uint32_t next_attempt_ = 1;
   LeafAnswer answer_;
+  AttemptLog log_;
   bool is_objective_over_ = false;
   base::TimerId deadline_timer_ = base::TimerId::kNone;
   base::TimerId objective_timer_ = base::TimerId::kNone;
--- a/Libraries/LibQuery/leaf_message.cc
+++ b/Libraries/LibQuery/leaf_message.cc
@@ -26,6 +26,22 @@
   return "timeout";
 }
 
+void LoadCount::Add(AttemptKind kind) {
+  switch (kind) {
+    case AttemptKind::kPrimary:
+      ++primary;
+      break;
+    case AttemptKind::kHedge:
+      ++hedges;
+      break;
+    case AttemptKind::kRetry:
+      ++retries;
+      break;
+    case AttemptKind::kDelegated:
+      break;
+  }
+}
+
 LeafAnswer AnswerWithNothing(const LeafRequest& request, MissingReason reason) {
   LeafAnswer answer;
   answer.request_id = request.request_id;
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -79,12 +79,17 @@
   bool operator==(const LeafRequest&) const = default;
 };
 
+// A delegated attempt is a node's, at all services that it was asked for.
+enum class AttemptKind : uint8_t { kPrimary, kHedge, kRetry, kDelegated };
+
 // Sub-requests that were sent to servers.
 struct LoadCount {
   uint64_t primary = 0;
   uint64_t hedges = 0;
   uint64_t retries = 0;
 
+  // One more attempt; delegated ones are counted by the node that makes them.
+  void Add(AttemptKind kind);
   uint64_t extra() const { return hedges + retries; }
   uint64_t sent() const { return primary + extra(); }
   LoadCount operator+(const LoadCount& other) const {
@@ -102,9 +107,6 @@
   bool operator==(const ForwardedPart&) const = default;
 };
 
-// A delegated attempt is a node's, at all services that it was asked for.
-enum class AttemptKind : uint8_t { kPrimary, kHedge, kRetry, kDelegated };
-
 // What became of one attempt at a forwarded request, for the log.
 struct AttemptRecord {
   std::string service;
