--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -153,7 +153,9 @@
   config::Route one = MakeRoute("one", "/one/");
   one.services = {{"s0", 1}};
   one.repeatability = repeatability;
-  table->routes = {all, one};
+  config::Route split = MakeRoute("split", "/split/");
+  split.services = {{"s0", 3}, {"s1", 1}};
+  table->routes = {all, one, split};
   configuration.routes = std::move(table);
   return configuration;
 }
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -58,7 +58,8 @@
   ~ForwardTier();
 
   // Writes a configuration of this version: one gather route /all/ over
-  // services s0 to s(`services`-1), and one route /one/ to s0.
+  // services s0 to s(`services`-1), one route /one/ to s0, and one /split/ to
+  // s0 and s1 with weights of 3 to 1.
   void PutConfiguration(uint64_t version, int services);
   void PutServer(const std::string& instance,
                  const std::string& service,
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -109,6 +109,20 @@
   CHECK(WasCalled(tier->log(), "zs0"));
 }
 
+TEST_CASE("requests are split by the weights of a route") {
+  const auto tier = MakeTier();
+  constexpr int kRequests = 400;
+  tier->log().clear();
+  for (int i = 0; i < kRequests; ++i)
+    tier->Ask(i % kNodes, "/split/x", milliseconds(20));
+  const auto at_first = std::ranges::count_if(
+      tier->log(), [](const auto& call) { return call.first.ends_with("s0"); });
+  // Three quarters, by more than four standard deviations either way.
+  CHECK(tier->log().size() == kRequests);
+  CHECK(at_first > kRequests * 66 / 100);
+  CHECK(at_first < kRequests * 84 / 100);
+}
+
 TEST_CASE("an entry that lapsed during an outage may come back for 2 s") {
   const auto tier = MakeTier();
   tier->store().outage = true;
