--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -19,6 +19,8 @@
 
 constexpr int kNodes = 4;
 constexpr int kServices = 4;
+// Enough for the weights of a split to show.
+constexpr int kRequests = 400;
 constexpr base::Duration kWholeTime = milliseconds(500);
 
 // A tier of `kNodes` nodes and `kServices` services of 3 servers, settled.
@@ -111,7 +113,6 @@
 
 TEST_CASE("requests are split by the weights of a route") {
   const auto tier = MakeTier();
-  constexpr int kRequests = 400;
   tier->log().clear();
   for (int i = 0; i < kRequests; ++i)
     tier->Ask(i % kNodes, "/split/x", milliseconds(20));
