--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -169,11 +169,7 @@
     // NOTE: The first rounds compare everything, so that a new node is whole
     // after one exchange. Later a quiet node compares: rumours are sent a
     // bounded number of times and may die out before they reach everyone.
-    const base::Instant now = scheduler_.Now();
-    sync = round_ <= kFirstRounds ||
-           (now >= next_comparison_ && !facts_.has_rumours());
-    if (sync)
-      next_comparison_ = now + rules_.comparison_period;
+    sync = round_ <= kFirstRounds || !facts_.has_rumours();
   }
   message.facts = facts_.TakeRumours(rules_.max_rumour_bytes, member_count);
   if (sync)
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -24,15 +24,12 @@
   base::Duration period = std::chrono::milliseconds(200);
   // The period while there are rumours to spread.
   base::Duration busy_period = std::chrono::milliseconds(50);
-  // Between comparisons of all facts with a peer, while no rumours are spread.
-  // Facts that rumours missed arrive within a few of these.
-  base::Duration comparison_period = std::chrono::milliseconds(1000);
   base::Duration probe_timeout = std::chrono::milliseconds(200);
   base::Duration suspicion = std::chrono::milliseconds(1200);
   // How long a dead member is remembered, against rumours that lag.
   base::Duration tombstone = std::chrono::minutes(10);
   size_t max_rumour_bytes = size_t{8} * 1024;
-  size_t max_sync_bytes = size_t{16} * 1024;
+  size_t max_sync_bytes = size_t{64} * 1024;
   // Peers asked to probe a silent one.
   size_t indirect_probes = 2;
 
@@ -117,7 +114,6 @@
   std::map<std::string, Known> members_;  // By node id, without self.
   std::vector<std::string> targets_;      // Addresses left in this pass.
   uint64_t round_ = 0;
-  base::Instant next_comparison_{};
   bool stopped_ = false;
 };
 
