--- a/Tests/Mutations/run.sh
+++ b/Tests/Mutations/run.sh
@@ -37,7 +37,7 @@
   fi
   # NOTE: Without shrinking, which may lead from one promise to another.
   local seed
-  for seed in 1 2 3 4; do
+  for seed in 1 2 3 4 5 6; do
     RC_PARAMS="seed=$seed max_success=300 max_size=60 noshrink=1" \
       timeout 300 "$folder/fuzz" >"$folder/out" 2>&1
     if grep -q "^promise $promise:" "$folder/out"; then
