Libraries: One copy of what both kinds of node do

Read once more, without a change of behaviour: - the drain of a server's process (`http::DrainServer`), the manifest as a fact (`LibNode/manifest_fact`), the probe of a peer (`PeerLinks::Probe`), the list of seeds in settings (`Reader::Addresses`), and which members are alive (`ClusterView::AliveMembers`) stood two or three times; - a stored configuration was parsed twice, up to 1 MB at each watcher: the parsed one is handed on; - a hedge looked for its candidates twice, and grouping far services by zone built a set of names for each of them.

--- a/Libraries/LibConfig/forward_settings.cc
+++ b/Libraries/LibConfig/forward_settings.cc
@@ -40,12 +40,7 @@
   settings.operator_address = reader.Address("operatorAddress");
   settings.peer_address = reader.Address("peerAddress");
   settings.store_address = reader.Address("storeAddress");
-  reader.ForEachString("peerSeeds", [&](const std::string& seed) {
-    if (!IsAddress(seed))
-      reader.Report("peerSeeds", "holds '" + seed + "'",
-                    "give numeric IPv4 addresses with ports");
-    settings.peer_seeds.push_back(seed);
-  });
+  settings.peer_seeds = reader.Addresses("peerSeeds");
   settings.address_hold =
       std::chrono::seconds(reader.Integer("addressHoldSeconds", kHoldSeconds));
   settings.stop_grace =
--- a/Libraries/LibConfig/reader.cc
+++ b/Libraries/LibConfig/reader.cc
@@ -162,6 +162,17 @@
   return CheckedAddress(key, String(key));
 }
 
+std::vector<std::string> Reader::Addresses(std::string_view key) {
+  std::vector<std::string> addresses;
+  ForEachString(key, [&](const std::string& address) {
+    if (!IsAddress(address))
+      Report(key, "holds '" + address + "'",
+             "give numeric IPv4 addresses with ports");
+    addresses.push_back(address);
+  });
+  return addresses;
+}
+
 std::string Reader::OptionalAddress(std::string_view key,
                                     std::string fallback) {
   return Find(key) ? Address(key) : std::move(fallback);
--- a/Libraries/LibConfig/reader.h
+++ b/Libraries/LibConfig/reader.h
@@ -10,6 +10,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "LibConfig/issue.h"
 
@@ -49,6 +50,9 @@
   std::string Address(std::string_view key);
   std::string OptionalAddress(std::string_view key, std::string fallback);
 
+  // A list of such.
+  std::vector<std::string> Addresses(std::string_view key);
+
   using ElementAction = std::function<void(Reader&)>;
   void Object(std::string_view key, const ElementAction& action);
   void ForEachObject(std::string_view key, const ElementAction& action);
--- a/Libraries/LibConfig/settings.cc
+++ b/Libraries/LibConfig/settings.cc
@@ -44,12 +44,7 @@
   settings.peer_address = reader.Address("peerAddress");
   settings.store_address = reader.Address("storeAddress");
   settings.host_list_address = reader.Address("hostListAddress");
-  reader.ForEachString("peerSeeds", [&](const std::string& seed) {
-    if (!IsAddress(seed))
-      reader.Report("peerSeeds", "holds '" + seed + "'",
-                    "give numeric IPv4 addresses with ports");
-    settings.peer_seeds.push_back(seed);
-  });
+  settings.peer_seeds = reader.Addresses("peerSeeds");
   settings.planned_nodes =
       static_cast<int>(reader.Integer("plannedNodes", kNodeCount));
   settings.holders_per_service = static_cast<int>(
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -9,6 +9,7 @@
 #include "LibBase/digest.h"
 #include "LibBase/log.h"
 #include "LibBase/sampling.h"
+#include "LibNode/manifest_fact.h"
 #include "LibQuery/forward_log.h"
 
 namespace node {
@@ -19,7 +20,6 @@
 namespace {
 
 constexpr std::string_view kClaimPrefix = "claim/";
-constexpr std::string_view kManifestFact = "manifest";
 constexpr std::string_view kStoreHealthPrefix = "store/";
 constexpr std::string_view kSilentStore = "silent";
 constexpr std::string_view kAnsweringStore = "answers";
@@ -39,25 +39,12 @@
 // an old view and under a new one stay within the limit together.
 constexpr size_t kLeastConnectionSharers = 5;
 
-membership::MembershipRules MakeMembershipRules(
-    const ForwardSettings& settings) {
-  membership::MembershipRules rules;
-  rules.period = settings.gossip_period;
-  return rules;
-}
-
 query::LeafRules MakeLeafRules(const ForwardSettings& settings) {
   query::LeafRules rules;
   rules.remote_cost = settings.remote_cost;
   return rules;
 }
 
-membership::Fact ToFact(const config::Manifest& manifest) {
-  return {std::string(kManifestFact),
-          {manifest.revision, 0},
-          config::SerializeManifest(manifest)};
-}
-
 membership::Fact ToFact(const upstream::ServerClaim& claim) {
   return {std::string(kClaimPrefix) + claim.instance,
           {claim.revision, 0},
@@ -113,7 +100,7 @@
       membership_(membership::MembershipController::Create(
           settings_.self,
           settings_.peer_seeds,
-          MakeMembershipRules(settings_),
+          {.period = settings_.gossip_period},
           world_.scheduler,
           world_.random,
           facts_,
@@ -202,7 +189,7 @@
 void ForwardCore::OnStoredConfiguration(const platform::StoreEvent& event) {
   if (!event.value)
     return;
-  const auto read = readers_.read_configuration(*event.value);
+  auto read = readers_.read_configuration(*event.value);
   if (!read) {
     base::Log(Event::kConfigurationRejected,
               {{"key", event.key}, {"reason", read.error().ToString()}});
@@ -213,7 +200,7 @@
   manifest.publication_id = event.key + "@" + std::to_string(event.revision);
   manifest.content_digest = base::Sha256Hex(*event.value);
   manifest.summary = "routes";
-  configuration_->OnContent(manifest, *event.value);
+  configuration_->OnContent(manifest, *event.value, *std::move(read));
 }
 
 void ForwardCore::OnStoredClaim(const platform::StoreEvent& event) {
@@ -318,8 +305,7 @@
 }
 
 size_t ForwardCore::NodeCount() {
-  return static_cast<size_t>(std::ranges::count_if(
-      views_.Current()->members(), &membership::Member::is_usable));
+  return views_.Current()->UsableCount();
 }
 
 int ForwardCore::ConnectionsPerNode(const config::Upstream& upstream) {
@@ -358,11 +344,7 @@
   size_t most = 0;
   for (const auto& [zone, present] : services)
     most = std::max(most, present);
-  std::vector<const membership::Member*> alive;
-  for (const membership::Member& member : view->members()) {
-    if (member.state == membership::MemberState::kAlive)
-      alive.push_back(&member);
-  }
+  std::vector<const membership::Member*> alive = view->AliveMembers();
   const auto is_near = [&](const membership::Member* member) {
     const auto found = services.find(member->availability_zone);
     return found != services.end() &&
@@ -451,14 +433,12 @@
 
 std::string ForwardCore::NodeIn(const std::string& availability_zone) {
   const auto view = views_.Current();
-  std::vector<std::string> nodes;
-  for (const membership::Member& member : view->members()) {
-    if (member.state == membership::MemberState::kAlive &&
-        member.availability_zone == availability_zone &&
-        member.node_id != settings_.self.node_id)
-      nodes.push_back(member.node_id);
-  }
-  return nodes.empty() ? "" : nodes[world_.random.Below(nodes.size())];
+  std::vector<const membership::Member*> nodes = view->AliveMembers();
+  std::erase_if(nodes, [&](const membership::Member* member) {
+    return member->availability_zone != availability_zone ||
+           member->node_id == settings_.self.node_id;
+  });
+  return nodes.empty() ? "" : nodes[world_.random.Below(nodes.size())]->node_id;
 }
 
 membership::GossipMessage ForwardCore::Gossip(
@@ -469,10 +449,7 @@
 void ForwardCore::Probe(const std::string& address,
                         base::Duration timeout,
                         membership::PeerLink::ProbeCallback callback) {
-  using Reachability = membership::PeerLink::Reachability;
-  world_.network.Ping(address, timeout, [callback](auto result) {
-    callback(result ? Reachability::kReachable : Reachability::kUnreachable);
-  });
+  links_.Probe(address, timeout, std::move(callback));
 }
 
 std::optional<std::string> ForwardCore::ContentOf(const std::string& digest) {
--- /dev/null
+++ b/Libraries/LibNode/manifest_fact.cc
@@ -0,0 +1,15 @@
+// Manifests as facts, versioned by their revision.
+
+#include "LibNode/manifest_fact.h"
+
+#include <string>
+
+namespace node {
+
+membership::Fact ToFact(const config::Manifest& manifest) {
+  return {std::string(kManifestFact),
+          {manifest.revision, 0},
+          config::SerializeManifest(manifest)};
+}
+
+}  // namespace node
--- a/Libraries/LibNode/node_core.cc
+++ b/Libraries/LibNode/node_core.cc
@@ -7,6 +7,7 @@
 #include <utility>
 
 #include "LibBase/log.h"
+#include "LibNode/manifest_fact.h"
 #include "LibPlatform/host_list.h"
 #include "LibQuery/admission_filters.h"
 #include "LibQuery/caller_codec.h"
@@ -21,7 +22,6 @@
 
 constexpr std::string_view kServerPrefix = "server/";
 constexpr std::string_view kLeavingPrefix = "leaving/";
-constexpr std::string_view kManifestFact = "manifest";
 constexpr std::string_view kWatchTask = "watch";
 constexpr std::string_view kUsageTask = "usage";
 constexpr size_t kWatchersPerZone = 1;
@@ -51,19 +51,6 @@
   return rules;
 }
 
-membership::MembershipRules MakeMembershipRules(
-    const config::Settings& settings) {
-  membership::MembershipRules rules;
-  rules.period = settings.gossip_period;
-  return rules;
-}
-
-membership::Fact ToFact(const config::Manifest& manifest) {
-  return {std::string(kManifestFact),
-          {manifest.revision, 0},
-          config::SerializeManifest(manifest)};
-}
-
 membership::Fact ToFact(const upstream::ServerReport& report) {
   return {std::string(kServerPrefix) + report.address,
           {report.incarnation, report.sequence},
@@ -106,7 +93,7 @@
       membership_(membership::MembershipController::Create(
           MakeSelf(settings_, identity_),
           settings_.peer_seeds,
-          MakeMembershipRules(settings_),
+          {.period = settings_.gossip_period},
           world_.scheduler,
           world_.random,
           facts_,
@@ -377,10 +364,7 @@
 void NodeCore::Probe(const std::string& address,
                      base::Duration timeout,
                      membership::PeerLink::ProbeCallback callback) {
-  using Reachability = membership::PeerLink::Reachability;
-  world_.network.Ping(address, timeout, [callback](auto result) {
-    callback(result ? Reachability::kReachable : Reachability::kUnreachable);
-  });
+  links_.Probe(address, timeout, std::move(callback));
 }
 
 std::optional<std::string> NodeCore::ContentOf(const std::string& digest) {
--- a/Libraries/LibNode/peer_links.cc
+++ b/Libraries/LibNode/peer_links.cc
@@ -69,6 +69,16 @@
                  });
 }
 
+void PeerLinks::Probe(const std::string& address,
+                      base::Duration timeout,
+                      ProbeCallback callback) {
+  network_.Ping(address, timeout,
+                [callback = std::move(callback)](auto result) {
+                  callback(result ? Reachability::kReachable
+                                  : Reachability::kUnreachable);
+                });
+}
+
 void PeerLinks::Execute(const std::string& node_id,
                         const query::LeafRequest& request,
                         query::LeafClient::Callback callback) {
--- a/Libraries/LibNode/peer_links.h
+++ b/Libraries/LibNode/peer_links.h
@@ -48,6 +48,10 @@
                 const std::string& target_address,
                 base::Duration timeout,
                 ProbeCallback callback) override;
+  // Whether the peer at the address answers this node.
+  void Probe(const std::string& address,
+             base::Duration timeout,
+             ProbeCallback callback);
   void Execute(const std::string& node_id,
                const query::LeafRequest& request,
                query::LeafClient::Callback callback) override;
--- a/Libraries/LibPlatform/configuration_controller.cc
+++ b/Libraries/LibPlatform/configuration_controller.cc
@@ -86,28 +86,16 @@
     FetchFrom(source + 1, manifest);
     return;
   }
-  ParseAndInstall(manifest, *std::move(content));
-}
-
-void ConfigurationController::OnContent(const config::Manifest& manifest,
-                                        std::string content) {
-  if (manifest.revision > Current()->revision)
-    ParseAndInstall(manifest, std::move(content));
-}
-
-void ConfigurationController::ParseAndInstall(const config::Manifest& manifest,
-                                              std::string content) {
-  auto parsed = parse_(content, manifest.revision);
-  if (!parsed.issues.empty()) {
+  auto parsed = parse_(*content, manifest.revision);
+  if (parsed.issues.empty())
+    OnContent(manifest, *std::move(content), std::move(parsed.configuration));
+  else
     GiveUp(manifest, config::ToString(parsed.issues.front()));
-    return;
-  }
-  Install(manifest, std::move(content), std::move(parsed.configuration));
 }
 
-void ConfigurationController::Install(const config::Manifest& manifest,
-                                      std::string content,
-                                      config::Configuration configuration) {
+void ConfigurationController::OnContent(const config::Manifest& manifest,
+                                        std::string content,
+                                        config::Configuration configuration) {
   const std::lock_guard install_lock(install_mutex_);
   {
     const std::lock_guard lock(mutex_);
--- a/Libraries/LibPlatform/configuration_controller.h
+++ b/Libraries/LibPlatform/configuration_controller.h
@@ -44,8 +44,10 @@
   // fetched and put in force; others are ignored.
   void OnManifest(const config::Manifest& manifest);
 
-  // As OnManifest, where the content is at hand.
-  void OnContent(const config::Manifest& manifest, std::string content);
+  // As OnManifest, where the content is at hand and was read.
+  void OnContent(const config::Manifest& manifest,
+                 std::string content,
+                 config::Configuration configuration);
 
   // Fetches again what no source had when it was wanted. Call now and then.
   void RetryIfMissing();
@@ -68,10 +70,6 @@
   void OnFetched(size_t source,
                  const config::Manifest& manifest,
                  base::Result<std::string> content);
-  void ParseAndInstall(const config::Manifest& manifest, std::string content);
-  void Install(const config::Manifest& manifest,
-               std::string content,
-               config::Configuration configuration);
   void KeepMissing(const config::Manifest& manifest);
   void GiveUp(const config::Manifest& manifest, const std::string& reason);
 
--- a/Libraries/LibQuery/delegation.cc
+++ b/Libraries/LibQuery/delegation.cc
@@ -40,11 +40,11 @@
     const config::Service& service = upstream.services[work[run].service];
     if (HasServerIn(service, own_zone))
       continue;
-    std::set<std::string> zones;
-    for (const config::Server& server : service.servers)
-      zones.insert(server.availability_zone);
-    for (const std::string& zone : zones)
-      by_zone[zone].push_back(run);
+    for (const config::Server& server : service.servers) {
+      auto& runs = by_zone[server.availability_zone];
+      if (runs.empty() || runs.back() != run)
+        runs.push_back(run);
+    }
   }
   return by_zone;
 }
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -209,6 +209,9 @@
   const Candidates candidates = FindCandidates(*dependencies_, run);
   if (candidates.servers.empty())
     return false;
+  if (kind == AttemptKind::kHedge &&
+      !dependencies_->budget.TrySpend(run.account))
+    return false;
   const size_t choice =
       ChooseReplica(*dependencies_, rules_, upstream_->slots, candidates.views);
   const config::Server& chosen = *candidates.servers[choice];
@@ -310,14 +313,14 @@
 void LeafExecution::OnFailure(ServiceRun& run,
                               const Attempt& attempt,
                               ShardFailure failure) {
-  const std::string server = attempt.server;
+  // NOTE: Another attempt may move this one.
   const uint32_t number = attempt.number;
   run.last_failure = ToMissingReason(failure);
   if (failure == ShardFailure::kLeaving)
-    dependencies_->on_leaving(server);
+    dependencies_->on_leaving(attempt.server);
   if (failure == ShardFailure::kNoConnection ||
       failure == ShardFailure::kMisdirected)
-    dependencies_->servers.OnUnreachable(server, Now());
+    dependencies_->servers.OnUnreachable(attempt.server, Now());
   if (run.HasOpenAttempt())
     return;
   const AttemptKind kind =
@@ -381,22 +384,17 @@
     if (run.done || !run.check_due || *run.check_due > Now())
       continue;
     run.check_due.reset();
-    if (delay)
+    if (delay) {
       run.check_due = Now() + *delay;
-    if (delay && ReplaceLost(run, *delay))
-      continue;
-    run.hedged = run.hedged || (!is_upstream_slow && Hedge(run));
+      if (ReplaceLost(run, *delay))
+        continue;
+    }
+    run.hedged = run.hedged ||
+                 (!is_upstream_slow && StartAttempt(run, AttemptKind::kHedge));
   }
   ArmCheckTimer();
 }
 
-bool LeafExecution::Hedge(ServiceRun& run) {
-  return MayStart(run) &&
-         !FindCandidates(*dependencies_, run).servers.empty() &&
-         dependencies_->budget.TrySpend(run.account) &&
-         StartAttempt(run, AttemptKind::kHedge);
-}
-
 // An attempt is lost if its server has answered calls that began well after it:
 // then its connection has gone silent, not the server. Half of its time is
 // waited where only other servers did so.
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -59,6 +59,7 @@
   void ArmCheckTimer();
   void StartPrimary(ServiceRun& run);
   bool MayStart(const ServiceRun& run) const;
+  // A hedge is taken from the budget; a retry has been.
   bool StartAttempt(ServiceRun& run, AttemptKind kind);
   void OnOutcome(size_t run_index,
                  const upstream::ShardCall& call,
@@ -76,7 +77,6 @@
   bool IsFree(upstream::ShardFailure failure) const;
   std::optional<base::Duration> HedgeDelay() const;
   void OnCheckDue();
-  bool Hedge(ServiceRun& run);
   bool IsLost(const Attempt& attempt, base::Duration usual_latency);
   // Sends the run's lost calls once more. Returns whether there were any.
   bool ReplaceLost(ServiceRun& run, base::Duration usual_latency);
--- a/Libraries/LibRouting/cluster_view.cc
+++ b/Libraries/LibRouting/cluster_view.cc
@@ -37,6 +37,20 @@
   return found == members_.end() ? nullptr : &*found;
 }
 
+std::vector<const Member*> ClusterView::AliveMembers() const {
+  std::vector<const Member*> alive;
+  for (const Member& member : members_) {
+    if (member.state == membership::MemberState::kAlive)
+      alive.push_back(&member);
+  }
+  return alive;
+}
+
+size_t ClusterView::UsableCount() const {
+  return static_cast<size_t>(
+      std::ranges::count_if(members_, &Member::is_usable));
+}
+
 const Member* ClusterView::OwnerOf(const std::string& key) const {
   const Member* owner = nullptr;
   for (const Member& member : members_) {
@@ -98,8 +112,7 @@
 }
 
 double ClusterView::GrantableFraction() const {
-  const auto usable =
-      static_cast<double>(std::ranges::count_if(members_, &Member::is_usable));
+  const auto usable = static_cast<double>(UsableCount());
   const double planned = rules_.planned_nodes;
   return usable * 2 > planned ? 1.0 : usable / planned;
 }
@@ -108,11 +121,8 @@
     size_t count,
     base::Random& random) const {
   std::vector<std::string> addresses;
-  // NOTE: A suspected member may be frozen; callers would wait for it.
-  for (const Member& member : members_) {
-    if (member.state == membership::MemberState::kAlive)
-      addresses.push_back(member.caller_address);
-  }
+  std::ranges::transform(AliveMembers(), std::back_inserter(addresses),
+                         &Member::caller_address);
   base::Shuffle(addresses, random);
   addresses.resize(std::min(count, addresses.size()));
   return addresses;
--- a/Libraries/LibRouting/cluster_view.h
+++ b/Libraries/LibRouting/cluster_view.h
@@ -31,6 +31,10 @@
     return configuration_;
   }
 
+  // Those that are not suspected: a suspected one may be frozen.
+  std::vector<const membership::Member*> AliveMembers() const;
+  size_t UsableCount() const;
+
   // The usable member with the highest rendezvous score for `key`, or null.
   const membership::Member* OwnerOf(const std::string& key) const;
   bool IsOwner(const std::string& key) const;
--- a/Services/celerycroft/node.cc
+++ b/Services/celerycroft/node.cc
@@ -8,6 +8,7 @@
 
 #include "LibBase/digest.h"
 #include "LibBase/log.h"
+#include "LibHttp/drain.h"
 #include "LibPlatform/host_list.h"
 #include "LibQuery/caller_codec.h"
 
@@ -19,7 +20,6 @@
 
 constexpr int kProcessIdBytes = 8;
 constexpr int kSecretBytes = 32;
-constexpr base::Duration kDrainCheckPeriod = std::chrono::milliseconds(20);
 
 node::Identity MakeIdentity(const config::Settings& settings) {
   return {static_cast<uint64_t>(base::UnixMilliseconds()),
@@ -127,23 +127,10 @@
   if (draining_.exchange(true))
     return;
   core_->AnnounceLeaving();
-  caller_server_->BeginDrain();
-  scheduler_.After(settings_.drain, [this, done = std::move(done)]() mutable {
-    caller_server_->StopAccepting();
-    FinishDrain(std::move(done));
-  });
-}
-
-void Node::FinishDrain(std::function<void()> done) {
-  if (caller_server_->running_requests() > 0 || core_->running() > 0) {
-    scheduler_.After(kDrainCheckPeriod,
-                     [this, done = std::move(done)]() mutable {
-                       FinishDrain(std::move(done));
-                     });
-    return;
-  }
-  caller_server_->CloseIdle();
-  core_->Finish(std::move(done));
+  http::DrainServer(
+      scheduler_, *caller_server_, settings_.drain,
+      [this] { return core_->running(); },
+      [this, done = std::move(done)] { core_->Finish(done); });
 }
 
 }  // namespace celerycroft
--- a/Services/celerycroft/node.h
+++ b/Services/celerycroft/node.h
@@ -39,7 +39,6 @@
   void HandleOperator(const http::Request& request,
                       const http::Responder& respond);
   std::string StateText();
-  void FinishDrain(std::function<void()> done);
 
   const config::Settings settings_;
   boost::asio::io_context& io_;
--- a/Tests/LibPlatform/configuration_controller_test.cc
+++ b/Tests/LibPlatform/configuration_controller_test.cc
@@ -56,10 +56,12 @@
   base::DisableLog();
   LateSource source;
   const auto controller = ConfigurationController::Create({&source}, ParseAny);
-  controller->OnContent(MakeManifest(7, "new"), "new");
+  controller->OnContent(MakeManifest(7, "new"), "new",
+                        ParseAny("new", 7).configuration);
   source.content = "old";
   controller->OnManifest(MakeManifest(6, "old"));
-  controller->OnContent(MakeManifest(6, "old"), "old");
+  controller->OnContent(MakeManifest(6, "old"), "old",
+                        ParseAny("old", 6).configuration);
   CHECK(controller->Current()->revision == 7);
   CHECK(source.asked == 0);
 }
