LibQuery, LibNode: Split large queries among the holders of blocks

Cause: one node made all 90 calls of a query, or 36 of them for another zone's node. At 77 us a call on 0.3 of a core that is 23 ms in a row of an objective of 40 ms, and each node held its own cold connections to all 270 servers.

Change: the services of a query form blocks; each zone has 2 to 4 holders for each block, ranked by rendezvous hashing. The root sends a leaf request to one of them, also in its own zone. The number of blocks balances the leaf requests of the root against the calls of a holder. Zones with fewer than 4 nodes work as before.

Ran: delegation_test, leaf_executor_test, forward_core_test.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -142,6 +142,7 @@
                          dependencies_.scheduler,
                          [this] { return UsableNodeCount(); }),
       upstream_cache_(server_registry_),
+      leaf_nodes_(settings_.self.node_id, views_),
       leaf_executor_(
           {dependencies_.scheduler, dependencies_.random,
            dependencies_.transport, servers_, hedge_policy_, extra_load_budget_,
@@ -150,10 +151,7 @@
              return MaxConnectionsPerServer(upstream);
            },
            settings_.self.availability_zone,
-           query::DelegationDependencies{peer_dispatcher_,
-                                         [this](const std::string& zone) {
-                                           return RandomNodeInZone(zone);
-                                         }}},
+           query::DelegationDependencies{peer_dispatcher_, leaf_nodes_}},
           MakeLeafRules(settings_)),
       filter_chain_(MakeFilters()) {}
 
@@ -455,19 +453,6 @@
   });
 }
 
-std::string ForwardCore::RandomNodeInZone(
-    const std::string& availability_zone) {
-  const auto view = views_.Current();
-  std::vector<const membership::Member*> nodes = view->AliveMembers();
-  std::erase_if(nodes, [&](const membership::Member* member) {
-    return member->availability_zone != availability_zone ||
-           member->node_id == settings_.self.node_id;
-  });
-  return nodes.empty()
-             ? ""
-             : nodes[dependencies_.random.Below(nodes.size())]->node_id;
-}
-
 membership::GossipMessage ForwardCore::Gossip(
     const membership::GossipMessage& message) {
   return membership_->OnGossip(message);
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -16,6 +16,7 @@
 #include "LibBase/random.h"
 #include "LibBase/scheduler.h"
 #include "LibMembership/membership_controller.h"
+#include "LibNode/cluster_leaf_nodes.h"
 #include "LibNode/freshness_gate.h"
 #include "LibNode/peer_adapters.h"
 #include "LibPeer/handler.h"
@@ -141,9 +142,6 @@
   bool IsZoneWatcher(const std::string& task);
   void RefreshView();
   void RunHousekeeping();
-  // Returns the id of another node of the zone, to which work may be delegated,
-  // or an empty string if the zone has none.
-  std::string RandomNodeInZone(const std::string& availability_zone);
   // Returns how many connections this node may open to one server of the
   // upstream.
   int MaxConnectionsPerServer(const config::Upstream& upstream);
@@ -170,6 +168,7 @@
   upstream::QuantileHedgePolicy hedge_policy_;
   upstream::WindowExtraLoadBudget extra_load_budget_;
   query::RouteUpstreamCache upstream_cache_;
+  ClusterLeafNodes leaf_nodes_;
   query::LeafExecutor leaf_executor_;
   query::ForwardFilterChain filter_chain_;
 
--- a/Libraries/LibQuery/delegation.h
+++ b/Libraries/LibQuery/delegation.h
@@ -1,27 +1,44 @@
-// Delegation of parts of a forwarded request: services without a server in this
-// node's availability zone are called by a node in a zone that has servers of
-// them. That node sends one merged answer across the zones.
+// Delegation of parts of a forwarded request. The services of a request form
+// blocks of consecutive services, and each zone has a few nodes that call the
+// servers of a block there, called its holders. Each sends one merged answer.
+// Holders work at the same time, keep connections to few servers, and see a
+// large share of the calls to each of them.
 
 #ifndef LIBQUERY_DELEGATION_H_
 #define LIBQUERY_DELEGATION_H_
 
-#include <functional>
 #include <string>
 #include <vector>
 
+#include "LibBase/random.h"
 #include "LibConfig/upstream.h"
 #include "LibQuery/leaf_client.h"
 #include "LibQuery/leaf_message.h"
 
 namespace query {
 
+// The nodes to which work may be delegated.
+class LeafNodes {
+ public:
+  virtual ~LeafNodes() = default;
+
+  // The id of this node.
+  virtual const std::string& own_node_id() const = 0;
+  // Returns the number of nodes in the zone that take work. Counts this node.
+  virtual size_t CountInZone(const std::string& availability_zone) = 0;
+  // Returns the ids of at most `count` nodes in the zone that take work. They
+  // are the same for each call with the same `block_key`, as long as the nodes
+  // of the zone are the same.
+  virtual std::vector<std::string> HoldersOf(
+      const std::string& availability_zone,
+      const std::string& block_key,
+      size_t count) = 0;
+};
+
 // The objects that a node needs to delegate work.
 struct DelegationDependencies {
   LeafClient& leaf_client;
-  // Returns the id of another node in the zone that takes work, or an empty
-  // string if there is none.
-  std::function<std::string(const std::string& availability_zone)>
-      find_node_in_zone;
+  LeafNodes& nodes;
 };
 
 // Part of a request that another node executes.
@@ -33,14 +50,21 @@
   bool operator==(const DelegatedWork&) const = default;
 };
 
-// Returns the work to delegate: services without a server in `own_zone`.
-// Repeatedly picks the zone that has servers of the most remaining services,
-// until these are too few to be worth delegating.
+// Returns how many blocks a request for `service_count` services is split into
+// in a zone with `node_count` nodes; at least 1.
+size_t BlockCount(size_t service_count, size_t node_count);
+
+// Returns the work to delegate. Services with a server in `own_zone` are split
+// among its nodes if these are enough for several blocks. For the others, picks
+// repeatedly the zone that has servers of the most remaining services, until
+// these are too few to be worth delegating. Blocks that this node holds itself
+// are not delegated.
 std::vector<DelegatedWork> PlanDelegation(
     const config::Upstream& upstream,
     const std::vector<ServiceShards>& work,
     const std::string& own_zone,
-    const std::function<std::string(const std::string&)>& find_node_in_zone);
+    LeafNodes& nodes,
+    base::Random& random);
 
 // Returns the request to send to the node: `request` with only the services of
 // `work`, to be answered after `objective` unless more services are missing
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -64,9 +64,9 @@
       request_.forward->objective > kMinDelegationObjective;
   if (!may_delegate)
     return {};
-  auto plan = PlanDelegation(*upstream_, request_.work,
-                             dependencies_->availability_zone,
-                             dependencies_->delegation->find_node_in_zone);
+  auto plan = PlanDelegation(
+      *upstream_, request_.work, dependencies_->availability_zone,
+      dependencies_->delegation->nodes, dependencies_->random);
   for (const DelegatedWork& work : plan) {
     for (const size_t index : work.work_indices)
       services_[index].delegated = true;
--- a/Libraries/LibRouting/cluster_view.cc
+++ b/Libraries/LibRouting/cluster_view.cc
@@ -51,6 +51,19 @@
       std::ranges::count_if(members_, &Member::is_usable));
 }
 
+std::vector<const Member*> ClusterView::RankAliveMembers(
+    const std::string& availability_zone,
+    const std::string& key) const {
+  std::vector<const Member*> ranked = AliveMembers();
+  std::erase_if(ranked, [&](const Member* member) {
+    return member->availability_zone != availability_zone;
+  });
+  std::ranges::sort(ranked, std::greater<>(), [&](const Member* member) {
+    return RendezvousScore(*member, key);
+  });
+  return ranked;
+}
+
 const Member* ClusterView::OwnerOf(const std::string& key) const {
   const Member* owner = nullptr;
   for (const Member& member : members_) {
--- a/Libraries/LibRouting/cluster_view.h
+++ b/Libraries/LibRouting/cluster_view.h
@@ -38,6 +38,11 @@
   // may be frozen.
   std::vector<const membership::Member*> AliveMembers() const;
   size_t UsableMemberCount() const;
+  // Returns the alive members of the zone, sorted by falling rendezvous score
+  // for `key`.
+  std::vector<const membership::Member*> RankAliveMembers(
+      const std::string& availability_zone,
+      const std::string& key) const;
 
   // Returns the usable member with the highest rendezvous score for `key`, or
   // null if no member is usable.
--- a/Tests/LibQuery/delegation_test.cc
+++ b/Tests/LibQuery/delegation_test.cc
@@ -4,6 +4,10 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <iterator>
+#include <utility>
+
 namespace query {
 namespace {
 
@@ -30,14 +34,55 @@
   return work;
 }
 
-std::string NodeIn(const std::string& zone) {
-  return "node-" + zone;
+// Zones with the same number of nodes each. Node i of a zone is called like
+// "b-i", this node "own-0". Block k in the order of the calls has the nodes
+// from k * `count` on as its holders.
+class FakeLeafNodes final : public LeafNodes {
+ public:
+  explicit FakeLeafNodes(size_t nodes_per_zone)
+      : nodes_per_zone_(nodes_per_zone) {}
+
+  const std::string& own_node_id() const override { return own_node_id_; }
+  size_t CountInZone(const std::string&) override { return nodes_per_zone_; }
+  std::vector<std::string> HoldersOf(const std::string& zone,
+                                     const std::string& block_key,
+                                     size_t count) override {
+    block_keys.push_back(block_key);
+    std::vector<std::string> holders;
+    for (size_t i = 0; i < std::min(count, nodes_per_zone_); ++i)
+      holders.push_back(zone + "-" +
+                        std::to_string(next_node_++ % nodes_per_zone_));
+    return holders;
+  }
+
+  std::vector<std::string> block_keys;  // Of all calls.
+
+ private:
+  const std::string own_node_id_ = std::string(kOwnZone) + "-0";
+  const size_t nodes_per_zone_;
+  size_t next_node_ = 0;
+};
+
+std::vector<DelegatedWork> Plan(
+    const std::vector<std::vector<std::string>>& zones,
+    LeafNodes& nodes) {
+  const config::Upstream upstream = MakeUpstream(zones);
+  base::SeededRandom random(1);
+  return PlanDelegation(upstream, AllWork(upstream), kOwnZone, nodes, random);
 }
 
 std::vector<DelegatedWork> Plan(
     const std::vector<std::vector<std::string>>& zones) {
-  const config::Upstream upstream = MakeUpstream(zones);
-  return PlanDelegation(upstream, AllWork(upstream), kOwnZone, NodeIn);
+  FakeLeafNodes nodes(1);
+  return Plan(zones, nodes);
+}
+
+std::vector<size_t> AllIndices(const std::vector<DelegatedWork>& plan) {
+  std::vector<size_t> indices;
+  for (const DelegatedWork& work : plan)
+    std::ranges::copy(work.work_indices, std::back_inserter(indices));
+  std::ranges::sort(indices);
+  return indices;
 }
 
 ForwardedPart MakePart(uint32_t service, const std::string& records) {
@@ -59,7 +104,7 @@
     "remote services go to the zone that has servers of the most of them") {
   const auto plan = Plan({{"b", "c"}, {"own"}, {"b"}, {"c", "b"}, {"b", "c"}});
   REQUIRE(plan.size() == 1);
-  CHECK(plan.front() == DelegatedWork{"node-b", {0, 2, 3, 4}});
+  CHECK(plan.front() == DelegatedWork{"b-0", {0, 2, 3, 4}});
 }
 
 TEST_CASE("each service is delegated only once") {
@@ -74,10 +119,54 @@
 }
 
 TEST_CASE("nothing is delegated to a zone without a node") {
-  const config::Upstream upstream = MakeUpstream({{"b"}, {"b"}, {"b"}, {"b"}});
-  CHECK(PlanDelegation(upstream, AllWork(upstream), kOwnZone, [](const auto&) {
-          return std::string();
-        }).empty());
+  FakeLeafNodes nodes(0);
+  CHECK(Plan({{"b"}, {"b"}, {"b"}, {"b"}}, nodes).empty());
+}
+
+// The load pattern: queries of 90 services at a rate of less than one a second
+// and node, whose calls one after the other would take half of the objective.
+constexpr size_t kManyServices = 90;
+constexpr size_t kManyNodes = 24;
+
+TEST_CASE("the calls of a large query are split among the nodes of the zone") {
+  FakeLeafNodes nodes(kManyNodes);
+  const auto plan =
+      Plan(std::vector<std::vector<std::string>>(kManyServices, {"b", "own"}),
+           nodes);
+  const size_t blocks = BlockCount(kManyServices, kManyNodes);
+  CHECK(blocks == 5);
+  // Node own-0 is a holder of the first block, and calls its servers itself.
+  REQUIRE(plan.size() == blocks - 1);
+  CHECK(AllIndices(plan).size() == kManyServices - kManyServices / blocks);
+  for (const DelegatedWork& work : plan) {
+    CHECK(work.node_id.starts_with("own-"));
+    CHECK(work.work_indices.size() == kManyServices / blocks);
+  }
+}
+
+TEST_CASE("remote work is split if the other zone has enough nodes") {
+  FakeLeafNodes nodes(kManyNodes);
+  const auto plan =
+      Plan(std::vector<std::vector<std::string>>(kManyServices, {"b"}), nodes);
+  CHECK(plan.size() == 5);
+  CHECK(AllIndices(plan).size() == kManyServices);
+}
+
+TEST_CASE("a lost server moves no other service to another holder") {
+  FakeLeafNodes nodes(kManyNodes);
+  std::vector<std::vector<std::string>> zones(kManyServices, {"own"});
+  Plan(zones, nodes);
+  const auto block_keys = std::exchange(nodes.block_keys, {});
+  zones[3] = {"b"};
+  Plan(zones, nodes);
+  CHECK(nodes.block_keys == block_keys);
+}
+
+TEST_CASE("a zone with few nodes is not split") {
+  CHECK(BlockCount(kManyServices, 3) == 1);
+  CHECK(BlockCount(10, kManyNodes) == 2);
+  CHECK(BlockCount(3, kManyNodes) == 1);
+  CHECK(BlockCount(0, 0) == 1);
 }
 
 TEST_CASE("services without a server are not delegated") {
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -38,6 +38,21 @@
   std::vector<Callback> callbacks;
 };
 
+// Each zone has one node.
+class FakeLeafNodes final : public LeafNodes {
+ public:
+  const std::string& own_node_id() const override { return own_node_id_; }
+  size_t CountInZone(const std::string&) override { return 1; }
+  std::vector<std::string> HoldersOf(const std::string&,
+                                     const std::string&,
+                                     size_t) override {
+    return {"peer"};
+  }
+
+ private:
+  const std::string own_node_id_ = "self";
+};
+
 // A leaf executor for an upstream with `services` services of three servers
 // each.
 class LeafFixture {
@@ -85,18 +100,16 @@
   std::shared_ptr<config::Upstream> upstream_ =
       std::make_shared<config::Upstream>();
   base::SeededRandom random_{1};
+  FakeLeafNodes leaf_nodes_;
   upstream::ServerTable servers_;
   upstream::QuantileHedgePolicy hedge_policy_{0.99};
   // Allows no extra load: a call that is sent again must need no budget.
   upstream::TokenExtraLoadBudget budget_{0};
-  LeafExecutor executor_{{scheduler, random_, transport, servers_,
-                          hedge_policy_, budget_, [](const std::string&) {},
-                          [](const config::Upstream&) { return 4; }, own_zone_,
-                          DelegationDependencies{leaf_client,
-                                                 [](const std::string&) {
-                                                   return std::string("peer");
-                                                 }}},
-                         {}};
+  LeafExecutor executor_{
+      {scheduler, random_, transport, servers_, hedge_policy_, budget_,
+       [](const std::string&) {}, [](const config::Upstream&) { return 4; },
+       own_zone_, DelegationDependencies{leaf_client, leaf_nodes_}},
+      {}};
   int next_request_ = 0;
 };
 
