LibPlatform, LibNode: Let two nodes of a zone read the store, and no others

Cause: every node listed all entries at its start and each 20 s: 7 pages for each of 118 nodes. And while the only reader of a zone stood frozen and the store refused the nodes of other zones, a neighbour learned of a leaving server only after the reader was found dead: requests reached it 3,161 and 3,355 ms after the store's acknowledgement, of 3,000 allowed.

Change: a node that has just started first learns from its peers. Two nodes of each zone watch; a suspected node's place is taken at once. A listing also removes entries that only peers know of. Facts on whether the store answers a node are refuted after a restart: otherwise all nodes could believe of each other that they get no answers, and none would ask. Both followers report on the store's health. Changes are fetched each 300 ms at most.

Ran: forward_core_test; the new test of the frozen reader fails with one reader whose suspicion doesn't count, the test of the missed removal failed before the refutation.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -25,9 +25,9 @@
 // Values of the facts on whether the store answers a node.
 constexpr std::string_view kStoreSilentValue = "silent";
 constexpr std::string_view kStoreAnswersValue = "answers";
-// One watcher suffices: until a lost watcher is replaced, its zone learns of
-// changes from the watchers of other zones.
-constexpr size_t kWatchersPerZone = 1;
+// With two watchers, a zone learns of changes in time although one of them is
+// frozen and the store refuses the nodes of all other zones.
+constexpr size_t kWatchersPerZone = 2;
 // The quantile of a service's latency after which a call counts as straggling
 // and is hedged.
 constexpr double kHedgeQuantile = 0.95;
@@ -126,6 +126,7 @@
           dependencies_.random,
           dependencies_.store,
           [this] { return IsZoneWatcher("configuration"); },
+          [this] { return ConfigurationFromPeers(); },
           [this](const auto& event) { OnStoredConfiguration(event); },
           [this](platform::StoreHealth health) { OnStoreHealth(health); })),
       registry_follower_(platform::PrefixFollower::Create(
@@ -135,8 +136,9 @@
           dependencies_.random,
           dependencies_.store,
           [this] { return IsZoneWatcher("registry"); },
+          [this] { return ClaimsFromPeers(); },
           [this](const auto& event) { OnStoredClaim(event); },
-          [](platform::StoreHealth) {})),
+          [this](platform::StoreHealth health) { OnStoreHealth(health); })),
       hedge_policy_(kHedgeQuantile),
       extra_load_budget_(settings_.extra_load_rules,
                          dependencies_.scheduler,
@@ -271,25 +273,47 @@
 // Announces the change to the peers, so that another node of the zone watches
 // the store instead of this one.
 void ForwardCore::OnStoreHealth(platform::StoreHealth health) {
-  uint64_t change_number = 0;
   {
     const std::lock_guard lock(store_mutex_);
-    change_number = ++own_store_health_changes_;
+    is_store_silent_ = health == platform::StoreHealth::kUnavailable;
+  }
+  AnnounceStoreHealth();
+}
+
+void ForwardCore::AnnounceStoreHealth() {
+  membership::Fact fact;
+  {
+    const std::lock_guard lock(store_mutex_);
+    own_health_version_ = {
+        std::max(own_health_version_.epoch, settings_.self.incarnation),
+        own_health_version_.counter + 1};
+    fact = {
+        std::string(kStoreHealthFactPrefix) + settings_.self.node_id,
+        own_health_version_,
+        std::string(is_store_silent_ ? kStoreSilentValue : kStoreAnswersValue)};
   }
-  const bool is_silent = health == platform::StoreHealth::kUnavailable;
-  facts_.AddIfNewer(
-      {std::string(kStoreHealthFactPrefix) + settings_.self.node_id,
-       {settings_.self.incarnation, change_number},
-       std::string(is_silent ? kStoreSilentValue : kStoreAnswersValue)});
+  facts_.AddIfNewer(fact);
 }
 
 void ForwardCore::OnStoreHealthFact(const membership::Fact& fact) {
   const std::string node = fact.key.substr(kStoreHealthFactPrefix.size());
-  const std::lock_guard lock(store_mutex_);
-  if (fact.value == kStoreSilentValue)
-    nodes_without_store_.insert(node);
-  else if (nodes_without_store_.erase(node) > 0)
-    last_store_recovery_ = dependencies_.scheduler.Now();
+  bool is_outdated = false;
+  {
+    const std::lock_guard lock(store_mutex_);
+    const bool is_silent = fact.value == kStoreSilentValue;
+    if (node == settings_.self.node_id) {
+      own_health_version_ = std::max(own_health_version_, fact.version);
+      is_outdated = is_silent != is_store_silent_;
+    }
+    if (is_silent)
+      nodes_without_store_.insert(node);
+    else if (nodes_without_store_.erase(node) > 0)
+      last_store_recovery_ = dependencies_.scheduler.Now();
+  }
+  // NOTE: The fact is of this node's previous process. Unless it is replaced,
+  // this node never reads the store, and so never finds out that it answers.
+  if (is_outdated)
+    AnnounceStoreHealth();
 }
 
 bool ForwardCore::IsZoneWatcher(const std::string& task) {
@@ -300,10 +324,26 @@
   }
   return views_.Current()->IsZoneAssignee(
       task, kWatchersPerZone, [&](const membership::Member& member) {
-        return !without_store.contains(member.node_id);
+        return member.state == membership::MemberState::kAlive &&
+               !without_store.contains(member.node_id);
       });
 }
 
+std::map<std::string, uint64_t> ForwardCore::ConfigurationFromPeers() {
+  if (!configuration_->Current()->routes)
+    return {};
+  return {{settings_.configuration_prefix, 0}};
+}
+
+std::map<std::string, uint64_t> ForwardCore::ClaimsFromPeers() {
+  std::map<std::string, uint64_t> revisions;
+  for (const upstream::ServerClaim& claim : server_registry_.Dump()) {
+    if (claim.server)
+      revisions[settings_.registry_prefix + claim.instance] = claim.revision;
+  }
+  return revisions;
+}
+
 void ForwardCore::ApplyClaim(const upstream::ServerClaim& claim) {
   const upstream::ClaimEffect effect = server_registry_.Apply(claim);
   if (effect != upstream::ClaimEffect::kLeaving)
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -6,6 +6,7 @@
 
 #include <atomic>
 #include <functional>
+#include <map>
 #include <memory>
 #include <mutex>
 #include <optional>
@@ -132,14 +133,19 @@
   void ApplyClaim(const upstream::ServerClaim& claim);
   void OnConfiguration(const config::Manifest& manifest);
   void OnStoreHealth(platform::StoreHealth health);
+  void AnnounceStoreHealth();
   void OnStoreHealthFact(const membership::Fact& fact);
   // Returns whether some usable node gets no answers from the store, or got
   // none until less than kRemovalDelay ago.
   bool IsStoreSilentOrRecovering();
-  // Returns whether this node is the one that watches the store for its
+  // Returns whether this node is one of those that watch the store for its
   // availability zone. `task` names what is watched. Nodes that get no answers
-  // from the store are not considered.
+  // from the store, or are suspected to have failed, are not considered.
   bool IsZoneWatcher(const std::string& task);
+  // Return what this node knows of the entries of the store, whether it read
+  // them or learned of them from peers: the revision of each, by key.
+  std::map<std::string, uint64_t> ConfigurationFromPeers();
+  std::map<std::string, uint64_t> ClaimsFromPeers();
   void RefreshView();
   void RunHousekeeping();
   // Returns how many connections this node may open to one server of the
@@ -178,8 +184,10 @@
   std::set<std::string> nodes_without_store_;
   // When the store last answered a node again after it had been silent.
   base::Instant last_store_recovery_{};
-  // How often the store has stopped or resumed answering this node.
-  uint64_t own_store_health_changes_ = 0;
+  // Whether the last call to the store got no answer. False before the first.
+  bool is_store_silent_ = false;
+  // The highest version of the facts on whether the store answers this node.
+  membership::FactVersion own_health_version_;
 
   // When the current configuration took effect.
   std::atomic<base::Instant> configuration_in_force_since_{};
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -10,6 +10,16 @@
 
 namespace platform {
 
+namespace {
+
+// Returns a random duration between half of `duration` and 1.5 times it.
+base::Duration Jitter(base::Duration duration, base::Random& random) {
+  return std::chrono::duration_cast<base::Duration>(duration *
+                                                    (0.5 + random.Fraction()));
+}
+
+}  // namespace
+
 std::shared_ptr<PrefixFollower> PrefixFollower::Create(
     std::string prefix,
     PrefixFollowerRules rules,
@@ -17,11 +27,13 @@
     base::Random& random,
     EntryStore& store,
     std::function<bool()> is_watcher,
+    PeerKnowledge peer_knowledge,
     Listener listener,
     HealthListener health_listener) {
-  return std::shared_ptr<PrefixFollower>(new PrefixFollower(
-      std::move(prefix), rules, scheduler, random, store, std::move(is_watcher),
-      std::move(listener), std::move(health_listener)));
+  return std::shared_ptr<PrefixFollower>(
+      new PrefixFollower(std::move(prefix), rules, scheduler, random, store,
+                         std::move(is_watcher), std::move(peer_knowledge),
+                         std::move(listener), std::move(health_listener)));
 }
 
 PrefixFollower::PrefixFollower(std::string prefix,
@@ -30,18 +42,30 @@
                                base::Random& random,
                                EntryStore& store,
                                std::function<bool()> is_watcher,
+                               PeerKnowledge peer_knowledge,
                                Listener listener,
                                HealthListener health_listener)
     : prefix_(std::move(prefix)),
       rules_(rules),
+      list_period_(Jitter(rules.list_period, random)),
       scheduler_(scheduler),
       random_(random),
       store_(store),
       is_watcher_(std::move(is_watcher)),
+      peer_knowledge_(std::move(peer_knowledge)),
       listener_(std::move(listener)),
       health_listener_(std::move(health_listener)),
       next_retry_delay_(rules.first_retry_delay) {}
 
+void PrefixFollower::Start() {
+  {
+    const std::lock_guard lock(mutex_);
+    started_ = scheduler_.Now();
+  }
+  scheduler_.After(rules_.start_delay,
+                   [self = shared_from_this()] { self->ScheduleNextRead(); });
+}
+
 void PrefixFollower::List(const std::string& after_key) {
   store_.List(prefix_, after_key,
               [self = shared_from_this(), after_key](auto page) {
@@ -76,12 +100,16 @@
   FinishListing();
 }
 
-// Treats known entries that are no longer listed as removed.
+// Treats known entries that are no longer listed as removed, also those that
+// only peers knew of: they may all have missed the removal.
 void PrefixFollower::FinishListing() {
+  std::map<std::string, uint64_t> known = peer_knowledge_();
   std::vector<StoreEvent> removed;
   {
     const std::lock_guard lock(mutex_);
-    for (const auto& [key, revision] : known_revisions_) {
+    for (const auto& [key, revision] : known_revisions_)
+      known.insert_or_assign(key, revision);
+    for (const auto& [key, revision] : known) {
       if (!listed_revisions_.contains(key) && revision <= listing_revision_)
         removed.push_back({key, listing_revision_, std::nullopt});
     }
@@ -93,20 +121,33 @@
 }
 
 void PrefixFollower::ScheduleNextRead() {
-  bool is_list_due = false;
-  {
-    const std::lock_guard lock(mutex_);
-    is_list_due = scheduler_.Now() - last_read_ >= rules_.list_period;
-  }
-  if (is_watcher_())
-    Watch();
-  else if (is_list_due)
+  const bool is_watcher = is_watcher_();
+  if (IsListingDue(is_watcher))
     List("");
+  else if (is_watcher)
+    Watch();
   else
     scheduler_.After(rules_.role_check_period,
                      [self = shared_from_this()] { self->ScheduleNextRead(); });
 }
 
+bool PrefixFollower::IsListingDue(bool is_watcher) {
+  std::optional<base::Duration> age;  // Of the last listing or watch.
+  base::Duration uptime{};
+  {
+    const std::lock_guard lock(mutex_);
+    const base::Instant now = scheduler_.Now();
+    uptime = now - started_;
+    if (last_read_)
+      age = now - *last_read_;
+  }
+  if (is_watcher)
+    return !age;
+  if (!age && uptime >= rules_.max_uninformed_time && peer_knowledge_().empty())
+    return true;
+  return age.value_or(uptime) >= list_period_;
+}
+
 void PrefixFollower::Watch() {
   uint64_t revision = 0;
   {
@@ -168,10 +209,9 @@
     next_retry_delay_ = std::min(next_retry_delay_ * 2, rules_.max_retry_delay);
   }
   SetHealth(StoreHealth::kUnavailable, error.message());
-  const auto jittered = std::chrono::duration_cast<base::Duration>(
-      delay * (0.5 + random_.Fraction()));
-  scheduler_.After(jittered, [self = shared_from_this(),
-                              retry = std::move(retry)] { retry(); });
+  scheduler_.After(
+      Jitter(delay, random_),
+      [self = shared_from_this(), retry = std::move(retry)] { retry(); });
 }
 
 void PrefixFollower::SetHealth(StoreHealth health, const std::string& reason) {
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -1,8 +1,8 @@
 // Follows all entries under a key prefix of the store: lists them, then watches
 // for changes, resumes after outages, and lists them again if the store has
 // lost its history. Only some nodes watch; the others learn of changes from
-// them and list the entries at intervals, so that the store's load does not
-// grow with the number of nodes.
+// them and hardly ever list the entries, so that the store's load does not grow
+// with the number of nodes.
 
 #ifndef LIBPLATFORM_PREFIX_FOLLOWER_H_
 #define LIBPLATFORM_PREFIX_FOLLOWER_H_
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,10 +26,16 @@
   // is detected after this time.
   base::Duration watch_wait = std::chrono::seconds(4);
   // The delay after changes, so that one call fetches a series of them.
-  base::Duration change_batch_delay = std::chrono::milliseconds(100);
-  // How often a node that does not watch lists the entries, and how often it
-  // checks whether it is to watch or a listing is due.
-  base::Duration list_period = std::chrono::seconds(20);
+  base::Duration change_batch_delay = std::chrono::milliseconds(300);
+  // The delay of the first read, in which a node that has just started learns
+  // from its peers whether it is to watch.
+  base::Duration start_delay = std::chrono::milliseconds(500);
+  // After this time, a node lists the entries even if it does not watch, unless
+  // it has learned of entries from its peers.
+  base::Duration max_uninformed_time = std::chrono::milliseconds(1500);
+  // How often a node that does not watch lists the entries, before jitter, and
+  // how often it checks whether it is to watch or a listing is due.
+  base::Duration list_period = std::chrono::minutes(5);
   base::Duration role_check_period = std::chrono::milliseconds(250);
   // The delay between calls to a store that does not answer, before jitter. It
   // doubles with each call.
@@ -48,6 +55,10 @@
   // Called when the store stops answering and when it starts to answer.
   using HealthListener = std::function<void(StoreHealth)>;
 
+  // Returns the entries that this node has learned of from its peers: the
+  // revision of each, by key.
+  using PeerKnowledge = std::function<std::map<std::string, uint64_t>()>;
+
   // References must outlive the follower. `is_watcher` returns whether this
   // node watches, and is called again after each listing, watch and wait.
   static std::shared_ptr<PrefixFollower> Create(
@@ -57,10 +68,11 @@
       base::Random& random,
       EntryStore& store,
       std::function<bool()> is_watcher,
+      PeerKnowledge peer_knowledge,
       Listener listener,
       HealthListener health_listener);
 
-  void Start() { List(""); }
+  void Start();
 
  private:
   PrefixFollower(std::string prefix,
@@ -69,9 +81,12 @@
                  base::Random& random,
                  EntryStore& store,
                  std::function<bool()> is_watcher,
+                 PeerKnowledge peer_knowledge,
                  Listener listener,
                  HealthListener health_listener);
 
+  // Returns whether this node is to list the entries now.
+  bool IsListingDue(bool is_watcher);
   void List(const std::string& after_key);
   void OnPage(const std::string& after_key, base::Result<StorePage> page);
   void FinishListing();
@@ -84,10 +99,13 @@
 
   const std::string prefix_;
   const PrefixFollowerRules rules_;
+  // `rules_.list_period` with jitter.
+  const base::Duration list_period_;
   base::Scheduler& scheduler_;
   base::Random& random_;
   EntryStore& store_;
   const std::function<bool()> is_watcher_;
+  const PeerKnowledge peer_knowledge_;
   const Listener listener_;
   const HealthListener health_listener_;
 
@@ -101,7 +119,8 @@
   uint64_t listing_revision_ = 0;
   uint64_t watch_revision_ = 0;  // Where the next watch continues.
   base::Duration next_retry_delay_{};
-  base::Instant last_read_;
+  base::Instant started_;
+  std::optional<base::Instant> last_read_;  // Unset before the first listing.
 };
 
 }  // namespace platform
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -219,6 +219,14 @@
   process = MakeProcess(node);
 }
 
+void ForwardTier::Freeze(int node) {
+  processes_[static_cast<size_t>(node)]->scheduler.Freeze();
+}
+
+void ForwardTier::Resume(int node) {
+  processes_[static_cast<size_t>(node)]->scheduler.Resume();
+}
+
 node::ForwardCore& ForwardTier::core(int node) {
   return *processes_[static_cast<size_t>(node)]->core;
 }
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -79,6 +79,9 @@
                                                   base::Duration transit = {});
   // Kills the node's process and starts a new one.
   void Restart(int node);
+  // Stops all work of the node's process until it is resumed.
+  void Freeze(int node);
+  void Resume(int node);
   void RunFor(base::Duration duration) { clock_.RunFor(duration); }
 
   node::ForwardCore& core(int node);
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -252,13 +252,64 @@
   CHECK(tier->transport(0).started() == 0);
 }
 
-TEST_CASE("one node of each availability zone watches the store") {
+TEST_CASE("the load of the store does not grow with the number of nodes") {
+  base::DisableLog();
+  constexpr int kManyNodes = 24;
+  ForwardTier tier(kManyNodes);
+  tier.PutConfiguration(3, 1);
+  tier.PutServer("xs0", "s0");
+  tier.RunFor(seconds(12));
+  for (int node = 0; node < kManyNodes; ++node)
+    CHECK(tier.core(node).is_ready());
+  // Two nodes of each of two zones read two prefixes: a listing each, and one
+  // watch for each change or each 4 s.
+  constexpr uint64_t kWatches = 2 * 2 * 2;
+  CHECK(tier.store().calls <= kWatches * (1 + 12 / 4 + 1));
+  const uint64_t calls_before = tier.store().calls;
+  tier.RunFor(seconds(20));
+  CHECK(tier.store().calls - calls_before <= kWatches * 6);
+}
+
+// Servers that leave must get no more requests after 3 s, on any machine and
+// under load. Half of it is left for that.
+constexpr base::Duration kNewsBound = milliseconds(1500);
+
+TEST_CASE("a frozen reader of the store holds up no news of leaving servers") {
+  // Nodes 0 and 2 are in one zone. The store refuses the nodes of the other.
+  for (const int frozen : {0, 2}) {
+    const auto tier = MakeTier();
+    tier->store().rejected_nodes = {"n1", "n3"};
+    tier->RunFor(seconds(4));
+    tier->Freeze(frozen);
+    tier->PutServer("xs0", "s0", upstream::ServerPhase::kLeaving);
+    tier->RunFor(kNewsBound);
+    tier->log().clear();
+    for (int i = 0; i < 20; ++i)
+      tier->SendAndWait(2 - frozen, "/one/x", milliseconds(50));
+    CHECK(WasCalled(tier->log(), "ys0"));
+    CHECK_FALSE(WasCalled(tier->log(), "xs0"));
+  }
+}
+
+TEST_CASE("a removal that all nodes missed is found when a node lists again") {
   const auto tier = MakeTier();
-  const uint64_t calls_before = tier->store().calls;
-  tier->RunFor(seconds(20));
-  // Two zones watch two prefixes, with one call every 4 s for each. The other
-  // nodes list each prefix.
-  CHECK(tier->store().calls - calls_before <= 2 * 2 * 6 + 2 * 2 * 6);
+  tier->store().outage = true;
+  tier->RunFor(seconds(2));
+  // The new processes learn of xs0 from each other only.
+  for (int node = 0; node + 1 < kNodeCount; ++node)
+    tier->Restart(node);
+  tier->RunFor(seconds(2));
+  tier->Restart(kNodeCount - 1);
+  tier->RunFor(seconds(2));
+  tier->RemoveServer("xs0");
+  tier->store().DropHistory();
+  tier->store().outage = false;
+  tier->RunFor(seconds(8));
+  tier->log().clear();
+  for (int i = 0; i < 20; ++i)
+    tier->SendAndWait(i % kNodeCount, "/one/x", milliseconds(50));
+  CHECK(WasCalled(tier->log(), "ys0"));
+  CHECK_FALSE(WasCalled(tier->log(), "xs0"));
 }
 
 }  // namespace
