LibNode, LibUpstream: Open connections in advance, near the callers

Callers were sent to nodes of any zone, and 4.8 ms of an objective of 40 went to the ways between.

The blocks of a zone no longer depend on which services a request delegates there, so that all agree on the holders. A server's connections are split among at most 60 nodes. Callers are sent to nodes of their own zone if it has 4 or more.

Ran: delegation_test, forward_core_test.

--- /dev/null
+++ b/Libraries/LibNode/connection_warmer.cc
@@ -0,0 +1,76 @@
+// Goes through the servers at intervals, a few at a time.
+
+#include "LibNode/connection_warmer.h"
+
+#include <algorithm>
+#include <set>
+#include <utility>
+
+namespace node {
+
+namespace {
+
+// A host of a small share of a core can't open many connections at once without
+// delaying requests.
+constexpr size_t kTargetsPerRun = 8;
+constexpr base::Duration kSearchPeriod = std::chrono::seconds(2);
+
+}  // namespace
+
+ConnectionWarmer::ConnectionWarmer(std::string own_zone,
+                                   query::LeafNodes& nodes,
+                                   query::RouteUpstreamCache& upstream_cache,
+                                   MaxConnections max_connections,
+                                   upstream::Transport& transport,
+                                   base::Scheduler& scheduler)
+    : own_zone_(std::move(own_zone)),
+      nodes_(nodes),
+      upstream_cache_(upstream_cache),
+      max_connections_(std::move(max_connections)),
+      transport_(transport),
+      scheduler_(scheduler) {}
+
+void ConnectionWarmer::Run(const config::ConfigurationPtr& configuration) {
+  if (!configuration->routes)
+    return;
+  const base::Instant now = scheduler_.Now();
+  if (pending_targets_.empty() && now >= next_search_) {
+    pending_targets_ = FindTargets(configuration);
+    next_search_ = now + kSearchPeriod;
+  }
+  const size_t count = std::min(kTargetsPerRun, pending_targets_.size());
+  for (size_t i = 0; i < count; ++i) {
+    transport_.Prepare(pending_targets_.back());
+    pending_targets_.pop_back();
+  }
+}
+
+std::vector<upstream::ServerTarget> ConnectionWarmer::FindTargets(
+    const config::ConfigurationPtr& configuration) {
+  std::vector<upstream::ServerTarget> targets;
+  std::set<std::string> found_addresses;
+  std::set<std::string> local_addresses;
+  for (const config::Route& route : configuration->routes->routes) {
+    if (!route.gather)
+      continue;
+    const auto upstream =
+        upstream_cache_.UpstreamFor(configuration, route.gather->services);
+    const int max_connections = max_connections_(*upstream);
+    for (const size_t service :
+         query::HeldServices(*upstream, own_zone_, nodes_)) {
+      for (const config::Server& server : upstream->services[service].servers) {
+        if (server.availability_zone == own_zone_)
+          local_addresses.insert(server.address);
+        if (found_addresses.insert(server.address).second)
+          targets.push_back({server.address, max_connections, server.instance});
+      }
+    }
+  }
+  // Servers of this node's zone are taken first, from the end.
+  std::ranges::stable_partition(targets, [&](const auto& target) {
+    return !local_addresses.contains(target.address);
+  });
+  return targets;
+}
+
+}  // namespace node
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -37,6 +37,10 @@
 // Callers are sent only to the nodes of near zones if these are at least this
 // share of all alive nodes. Otherwise too few nodes would serve all callers.
 constexpr double kMinNearNodeShare = 0.6;
+// Callers are sent only to the nodes of their own zone if it has at least this
+// many. With fewer, the loss of one node would leave the others with too many
+// callers.
+constexpr size_t kMinNodesInCallerZone = 4;
 // How long removals of servers are delayed, and how long the store counts as
 // recovering once it answers again. According to the platform, running servers
 // rewrite their entries within about this time after an outage of the store.
@@ -46,6 +50,9 @@
 // that the nodes of an old view and those of a new one together stay within the
 // server's limit.
 constexpr size_t kMinConnectionSharers = 5;
+// The maximum number of nodes that a server's connections are split among. In a
+// larger cluster, a server is called by its holders and hardly by other nodes.
+constexpr size_t kMaxConnectionSharers = 60;
 
 query::LeafRules MakeLeafRules(const ForwardSettings& settings) {
   query::LeafRules rules;
@@ -145,6 +152,15 @@
                          [this] { return UsableNodeCount(); }),
       upstream_cache_(server_registry_),
       leaf_nodes_(settings_.self.node_id, views_),
+      connection_warmer_(
+          settings_.self.availability_zone,
+          leaf_nodes_,
+          upstream_cache_,
+          [this](const config::Upstream& upstream) {
+            return MaxConnectionsPerServer(upstream);
+          },
+          dependencies_.transport,
+          dependencies_.scheduler),
       leaf_executor_(
           {dependencies_.scheduler, dependencies_.random,
            dependencies_.transport, servers_, hedge_policy_, extra_load_budget_,
@@ -200,6 +216,7 @@
 void ForwardCore::RunHousekeeping() {
   freshness_gate_.Tick();
   configuration_->RetryMissingContent();
+  connection_warmer_.Run(configuration_->Current());
   dependencies_.scheduler.After(kHousekeepingPeriod,
                                 [this] { RunHousekeeping(); });
 }
@@ -372,7 +389,8 @@
 }
 
 int ForwardCore::MaxConnectionsPerServer(const config::Upstream& upstream) {
-  const size_t sharers = std::max(UsableNodeCount(), kMinConnectionSharers);
+  const size_t sharers = std::clamp(UsableNodeCount(), kMinConnectionSharers,
+                                    kMaxConnectionSharers);
   return std::max(1, upstream.connections / static_cast<int>(sharers));
 }
 
@@ -401,7 +419,9 @@
 // Nodes in an availability zone that has servers of only a few services would
 // fetch nearly all answers from other zones. Callers are not sent to them as
 // long as there are enough other nodes.
-std::vector<std::string> ForwardCore::CallerAddresses(size_t count) {
+std::vector<std::string> ForwardCore::CallerAddresses(
+    size_t count,
+    const std::string& caller_zone) {
   const auto view = views_.Current();
   const auto service_counts = server_registry_.ServiceCountsByZone();
   size_t most_services = 0;
@@ -419,6 +439,12 @@
   if (static_cast<double>(near) >=
       kMinNearNodeShare * static_cast<double>(alive.size()))
     alive.resize(near);
+  const auto elsewhere = std::stable_partition(
+      alive.begin(), alive.end(),
+      [&](const auto* node) { return node->availability_zone == caller_zone; });
+  const auto in_zone = static_cast<size_t>(elsewhere - alive.begin());
+  if (in_zone >= kMinNodesInCallerZone)
+    alive.resize(in_zone);
   base::Shuffle(alive, dependencies_.random);
   alive.resize(std::min(alive.size(), count));
   std::vector<std::string> addresses;
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -18,6 +18,7 @@
 #include "LibBase/scheduler.h"
 #include "LibMembership/membership_controller.h"
 #include "LibNode/cluster_leaf_nodes.h"
+#include "LibNode/connection_warmer.h"
 #include "LibNode/freshness_gate.h"
 #include "LibNode/peer_adapters.h"
 #include "LibPeer/handler.h"
@@ -98,9 +99,10 @@
   // Returns the number of running requests of callers and peers.
   size_t running_request_count() const { return running_request_count_; }
 
-  // Returns the addresses of at most `count` nodes that callers may use, in
-  // random order.
-  std::vector<std::string> CallerAddresses(size_t count);
+  // Returns the addresses of at most `count` nodes that a caller in the zone
+  // may use, in random order. The zone may be unknown.
+  std::vector<std::string> CallerAddresses(size_t count,
+                                           const std::string& caller_zone);
 
   // Returns the state of this node as JSON, for operators.
   std::string StateText();
@@ -175,6 +177,7 @@
   upstream::WindowExtraLoadBudget extra_load_budget_;
   query::RouteUpstreamCache upstream_cache_;
   ClusterLeafNodes leaf_nodes_;
+  ConnectionWarmer connection_warmer_;
   query::LeafExecutor leaf_executor_;
   query::ForwardFilterChain filter_chain_;
 
--- a/Libraries/LibQuery/delegation.cc
+++ b/Libraries/LibQuery/delegation.cc
@@ -77,76 +77,91 @@
       ->first;
 }
 
-// Splits the work of one zone among the holders of its blocks.
-class ZonePlanner {
+// Splits the services of a request into blocks, in one zone.
+//
+// NOTE: The blocks depend only on the services of the request and on the zone,
+// not on which of them are delegated there. All nodes then agree on the holders
+// of a service, and a lost server moves no other service to another holder.
+class ZoneBlocks {
  public:
-  ZonePlanner(const config::Upstream& upstream,
-              const std::vector<ServiceShards>& work,
-              LeafNodes& nodes,
-              base::Random& random)
-      : upstream_(upstream), work_(work), nodes_(nodes), random_(random) {}
-
-  // Adds the work at `work_indices` to `plan`, but for blocks that are too
-  // small or have no holder other than this node.
-  void Plan(const std::string& zone,
-            const std::vector<size_t>& work_indices,
-            std::vector<DelegatedWork>& plan) {
-    const size_t block_count =
-        BlockCount(work_indices.size(), nodes_.CountInZone(zone));
-    // NOTE: Blocks are parts of the whole request, not of `work_indices`. A
-    // service without a server in the zone would otherwise move the others to
-    // other holders.
-    for (size_t block = 0; block < block_count; ++block) {
-      const auto first = std::ranges::lower_bound(
-          work_indices, FirstIndexOf(block, block_count));
-      const auto last = std::ranges::lower_bound(
-          work_indices, FirstIndexOf(block + 1, block_count));
-      if (last - first < static_cast<ptrdiff_t>(kMinDelegatedServices))
-        continue;
-      const std::string node = ChooseHolder(zone, block, block_count);
-      if (!node.empty())
-        AddTo(plan, node, {first, last});
-    }
+  // `zone_service_count` is the number of services with a server in the zone.
+  ZoneBlocks(const config::Upstream& upstream,
+             const std::vector<ServiceShards>& work,
+             const std::string& zone,
+             size_t zone_service_count,
+             LeafNodes& nodes)
+      : upstream_(upstream),
+        work_(work),
+        zone_(zone),
+        nodes_(nodes),
+        node_count_(nodes.CountInZone(zone)),
+        count_(BlockCount(zone_service_count, node_count_)) {}
+
+  size_t count() const { return count_; }
+
+  size_t FirstIndexOf(size_t block) const {
+    return (block * work_.size() + count_ - 1) / count_;
   }
 
- private:
-  size_t FirstIndexOf(size_t block, size_t block_count) const {
-    return (block * work_.size() + block_count - 1) / block_count;
+  // Returns the part of `work_indices` that is in the block.
+  std::vector<size_t> PartOf(size_t block,
+                             const std::vector<size_t>& work_indices) const {
+    return {std::ranges::lower_bound(work_indices, FirstIndexOf(block)),
+            std::ranges::lower_bound(work_indices, FirstIndexOf(block + 1))};
   }
 
-  // Returns an empty string if this node is a holder, or if there is none.
-  std::string ChooseHolder(const std::string& zone,
-                           size_t block,
-                           size_t block_count) {
-    const size_t holder_count =
-        std::clamp(nodes_.CountInZone(zone) / block_count, kMinHoldersPerBlock,
-                   kMaxHoldersPerBlock);
-    const uint32_t first_service =
-        work_[FirstIndexOf(block, block_count)].service;
-    const auto holders = nodes_.HoldersOf(
-        zone, upstream_.services[first_service].name, holder_count);
-    const bool is_own =
-        std::ranges::find(holders, nodes_.own_node_id()) != holders.end();
-    return holders.empty() || is_own ? ""
-                                     : holders[random_.Below(holders.size())];
+  std::vector<std::string> HoldersOf(size_t block) const {
+    const size_t holder_count = std::clamp(
+        node_count_ / count_, kMinHoldersPerBlock, kMaxHoldersPerBlock);
+    const uint32_t first_service = work_[FirstIndexOf(block)].service;
+    return nodes_.HoldersOf(zone_, upstream_.services[first_service].name,
+                            holder_count);
   }
 
-  static void AddTo(std::vector<DelegatedWork>& plan,
-                    const std::string& node,
-                    std::vector<size_t> work_indices) {
-    const auto found = std::ranges::find(plan, node, &DelegatedWork::node_id);
-    if (found == plan.end())
-      plan.push_back({node, std::move(work_indices)});
-    else
-      std::ranges::move(work_indices, std::back_inserter(found->work_indices));
+  bool IsOwn(size_t block) const {
+    const auto holders = HoldersOf(block);
+    return std::ranges::find(holders, nodes_.own_node_id()) != holders.end();
   }
 
+ private:
   const config::Upstream& upstream_;
   const std::vector<ServiceShards>& work_;
+  const std::string zone_;
   LeafNodes& nodes_;
-  base::Random& random_;
+  const size_t node_count_;
+  const size_t count_;
 };
 
+// Adds the work at `work_indices` to `plan`, but for blocks that are too small
+// to be delegated, or have no holder other than this node.
+void PlanZone(const ZoneBlocks& blocks,
+              const std::vector<size_t>& work_indices,
+              LeafNodes& nodes,
+              base::Random& random,
+              std::vector<DelegatedWork>& plan) {
+  for (size_t block = 0; block < blocks.count(); ++block) {
+    const auto part = blocks.PartOf(block, work_indices);
+    const auto holders = blocks.HoldersOf(block);
+    const bool is_own =
+        std::ranges::find(holders, nodes.own_node_id()) != holders.end();
+    if (part.size() < kMinDelegatedServices || holders.empty() || is_own)
+      continue;
+    const std::string& node = holders[random.Below(holders.size())];
+    const auto planned = std::ranges::find(plan, node, &DelegatedWork::node_id);
+    if (planned == plan.end())
+      plan.push_back({node, part});
+    else
+      std::ranges::copy(part, std::back_inserter(planned->work_indices));
+  }
+}
+
+std::vector<ServiceShards> WorkOfAllServices(const config::Upstream& upstream) {
+  std::vector<ServiceShards> work;
+  for (uint32_t service = 0; service < upstream.services.size(); ++service)
+    work.push_back({service, {service}});
+  return work;
+}
+
 }  // namespace
 
 // With b blocks, the sender makes b leaf requests and each holder 1/b of the
@@ -165,12 +180,18 @@
     LeafNodes& nodes,
     base::Random& random) {
   std::vector<DelegatedWork> plan;
-  ZonePlanner planner(upstream, work, nodes, random);
   WorkByZone by_zone = GroupByZone(upstream, work);
+  std::map<std::string, size_t> service_counts;
+  for (const auto& [zone, work_indices] : by_zone)
+    service_counts[zone] = work_indices.size();
+  const auto blocks_of = [&](const std::string& zone) {
+    return ZoneBlocks(upstream, work, zone, service_counts[zone], nodes);
+  };
   if (by_zone.contains(own_zone)) {
     const auto own_work = TakeZone(by_zone, own_zone);
-    if (BlockCount(own_work.size(), nodes.CountInZone(own_zone)) > 1)
-      planner.Plan(own_zone, own_work, plan);
+    const ZoneBlocks blocks = blocks_of(own_zone);
+    if (blocks.count() > 1)
+      PlanZone(blocks, own_work, nodes, random, plan);
   }
   while (!by_zone.empty()) {
     const std::string zone = ZoneWithMostWork(by_zone, nodes.own_node_id());
@@ -179,11 +200,32 @@
     if (nodes.CountInZone(zone) == 0)
       by_zone.erase(zone);
     else
-      planner.Plan(zone, TakeZone(by_zone, zone), plan);
+      PlanZone(blocks_of(zone), TakeZone(by_zone, zone), nodes, random, plan);
   }
   return plan;
 }
 
+std::vector<size_t> HeldServices(const config::Upstream& upstream,
+                                 const std::string& own_zone,
+                                 LeafNodes& nodes) {
+  const auto work = WorkOfAllServices(upstream);
+  const WorkByZone by_zone = GroupByZone(upstream, work);
+  const auto own = by_zone.find(own_zone);
+  const std::vector<size_t> own_work =
+      own == by_zone.end() ? std::vector<size_t>() : own->second;
+  const ZoneBlocks blocks(upstream, work, own_zone, own_work.size(), nodes);
+  std::vector<size_t> held;
+  for (size_t block = 0; block < blocks.count(); ++block) {
+    if (blocks.count() > 1 && blocks.IsOwn(block))
+      std::ranges::copy(blocks.PartOf(block, own_work),
+                        std::back_inserter(held));
+  }
+  if (blocks.count() == 1)
+    std::ranges::transform(work, std::back_inserter(held),
+                           &ServiceShards::service);
+  return held;
+}
+
 LeafRequest MakeDelegatedRequest(const LeafRequest& request,
                                  const DelegatedWork& work,
                                  base::Duration objective) {
--- a/Libraries/LibQuery/delegation.h
+++ b/Libraries/LibQuery/delegation.h
@@ -66,6 +66,13 @@
     LeafNodes& nodes,
     base::Random& random);
 
+// Returns the indices of the services whose servers this node calls for itself
+// or for others: those of the blocks that it holds in its zone, or all services
+// if its zone is not split.
+std::vector<size_t> HeldServices(const config::Upstream& upstream,
+                                 const std::string& own_zone,
+                                 LeafNodes& nodes);
+
 // Returns the request to send to the node: `request` with only the services of
 // `work`, to be answered after `objective` unless more services are missing
 // then than may be missing in the whole request.
--- a/Libraries/LibUpstream/connection_pool.cc
+++ b/Libraries/LibUpstream/connection_pool.cc
@@ -14,6 +14,8 @@
 // Servers close idle connections after a while. One that has been idle for
 // longer may be closed already and is not used again.
 constexpr base::Duration kMaxIdleTime = std::chrono::seconds(30);
+// A server that does not accept a connection within this time is not prepared.
+constexpr base::Duration kPrepareTimeout = std::chrono::milliseconds(500);
 
 }  // namespace
 
@@ -55,6 +57,27 @@
   });
 }
 
+void ConnectionPool::Prepare(const std::string& address, int max_connections) {
+  const bool is_needed = pools_.With(address, [&](auto& pools) {
+    Pool& pool = pools[address];
+    if (pool.open > 0 || max_connections < 1)
+      return false;
+    pool.max_connections = max_connections;
+    ++pool.open;
+    return true;
+  });
+  if (!is_needed)
+    return;
+  auto connection = http::Connection::Create(io_, address);
+  connection->Connect(kPrepareTimeout,
+                      [self = shared_from_this(), address,
+                       connection](const base::Result<void>& result) {
+                        if (!result)
+                          connection->Close();
+                        self->Release(address, connection);
+                      });
+}
+
 ConnectionPool::ConnectionPtr ConnectionPool::TryAcquireFresh(
     const std::string& address,
     int max_connections) {
--- a/Libraries/LibUpstream/connection_pool.h
+++ b/Libraries/LibUpstream/connection_pool.h
@@ -41,6 +41,9 @@
                       int max_connections,
                       ConnectionCallback callback);
 
+  // Opens a connection, unless one is open or `max_connections` is below 1.
+  void Prepare(const std::string& address, int max_connections);
+
   // Returns a connection that was never used, or null if `max_connections` are
   // in use. Closes an idle connection if that makes room.
   ConnectionPtr TryAcquireFresh(const std::string& address,
--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -65,6 +65,10 @@
 
 HttpTransport::~HttpTransport() = default;
 
+void HttpTransport::Prepare(const ServerTarget& target) {
+  state_->pool->Prepare(target.address, target.max_connections);
+}
+
 CallId HttpTransport::Start(const ServerTarget& target,
                             const ShardCall& shard_call,
                             base::Duration timeout,
--- a/Libraries/LibUpstream/http_transport.h
+++ b/Libraries/LibUpstream/http_transport.h
@@ -23,6 +23,7 @@
                 std::shared_ptr<const ShardCodec> codec);
   ~HttpTransport() override;
 
+  void Prepare(const ServerTarget& target) override;
   CallId Start(const ServerTarget& target,
                const ShardCall& call,
                base::Duration timeout,
--- a/Libraries/LibUpstream/transport.h
+++ b/Libraries/LibUpstream/transport.h
@@ -33,6 +33,9 @@
  public:
   virtual ~Transport() = default;
 
+  // Opens a connection to the server for later calls, unless one is open.
+  virtual void Prepare(const ServerTarget& target) = 0;
+
   // Sends a call. Calls `callback` once, but never from within Start, and after
   // Cancel possibly not at all.
   virtual CallId Start(const ServerTarget& target,
--- a/Tests/Fakes/fake_network.h
+++ b/Tests/Fakes/fake_network.h
@@ -175,6 +175,7 @@
         connect_time_(connect_time) {}
   ~FakeTransport() override;
 
+  void Prepare(const upstream::ServerTarget&) override {}
   upstream::CallId Start(const upstream::ServerTarget& target,
                          const upstream::ShardCall& call,
                          base::Duration timeout,
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -37,6 +38,9 @@
                    base::Scheduler& scheduler)
       : scripts_(scripts), log_(log), scheduler_(scheduler) {}
 
+  void Prepare(const upstream::ServerTarget& target) override {
+    prepared_.insert(target.instance);
+  }
   upstream::CallId Start(const upstream::ServerTarget& target,
                          const upstream::ShardCall& call,
                          base::Duration timeout,
@@ -46,6 +50,8 @@
 
   int cancelled() const { return cancelled_; }
   uint64_t started() const { return next_id_ - 1; }
+  // The servers to which connections were opened in advance.
+  const std::set<std::string>& prepared() const { return prepared_; }
 
  private:
   std::map<std::string, ServerScript>& scripts_;
@@ -53,6 +59,7 @@
   base::Scheduler& scheduler_;
   uint64_t next_id_ = 1;
   int cancelled_ = 0;
+  std::set<std::string> prepared_;
 };
 
 class ForwardTier {
--- a/Tests/Fakes/scripted_transport.h
+++ b/Tests/Fakes/scripted_transport.h
@@ -22,6 +22,8 @@
     bool cancelled = false;
   };
 
+  void Prepare(const upstream::ServerTarget&) override {}
+
   upstream::CallId Start(const upstream::ServerTarget& target,
                          const upstream::ShardCall& call,
                          base::Duration timeout,
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -211,14 +211,32 @@
 TEST_CASE("callers are sent to zones that have servers") {
   // All servers are in zone a and half of the nodes in zone b: too many nodes
   // to leave out.
-  CHECK(MakeTier()->core(1).CallerAddresses(64).size() == kNodeCount);
+  CHECK(MakeTier()->core(1).CallerAddresses(64, "a").size() == kNodeCount);
   base::DisableLog();
   ForwardTier tier(5);
   tier.PutConfiguration(3, 1);
   tier.PutServer("xs0", "s0");
   tier.RunFor(seconds(5));
-  CHECK(tier.core(1).CallerAddresses(64).size() == 3);
-  CHECK(tier.core(1).CallerAddresses(2).size() == 2);
+  CHECK(tier.core(1).CallerAddresses(64, "a").size() == 3);
+  CHECK(tier.core(1).CallerAddresses(2, "a").size() == 2);
+}
+
+TEST_CASE("callers are sent to their own zone if it has enough nodes") {
+  base::DisableLog();
+  ForwardTier tier(9);  // Zone a has 5 of them, zone b 4.
+  tier.PutConfiguration(3, 1);
+  tier.PutServer("xs0", "s0");
+  tier.RunFor(seconds(5));
+  CHECK(tier.core(1).CallerAddresses(64, "a").size() == 5);
+  // Zone b has no server, but its nodes are too many to be left out.
+  CHECK(tier.core(1).CallerAddresses(64, "b").size() == 4);
+  CHECK(tier.core(1).CallerAddresses(64, "").size() == 9);
+}
+
+TEST_CASE("connections are open before the first request") {
+  const auto tier = MakeTier();
+  CHECK(tier->transport(0).started() == 0);
+  CHECK(tier->transport(0).prepared().size() == 3 * kServiceCount);
 }
 
 // Nodes 1 and 3 are in a zone without servers.
--- a/Tests/LibQuery/delegation_test.cc
+++ b/Tests/LibQuery/delegation_test.cc
@@ -162,6 +162,19 @@
   CHECK(nodes.block_keys == block_keys);
 }
 
+TEST_CASE("a node holds the services that its zone does not delegate") {
+  FakeLeafNodes nodes(kManyNodes);
+  const config::Upstream upstream = MakeUpstream(
+      std::vector<std::vector<std::string>>(kManyServices, {"b", "own"}));
+  // Node own-0 is a holder of the first block.
+  const auto held = HeldServices(upstream, kOwnZone, nodes);
+  REQUIRE(held.size() == kManyServices / 5);
+  CHECK(held.front() == 0);
+  FakeLeafNodes few_nodes(2);
+  CHECK(HeldServices(upstream, kOwnZone, few_nodes).size() == kManyServices);
+  CHECK(HeldServices(MakeUpstream({}), kOwnZone, nodes).empty());
+}
+
 TEST_CASE("a zone with few nodes is not split") {
   CHECK(BlockCount(kManyServices, 3) == 1);
   CHECK(BlockCount(10, kManyNodes) == 2);
