LibUpstream, LibQuery: Hedge early while servers are idle

Change: the quantile after which a call is hedged follows the load that the servers report, from the 80th in 100 while they are idle to the 95th while they are busy. Delegated work is to be answered 8 ms before the objective, not a tenth of it.

Ran: load_aware_hedge_policy_test (with the 95th for idle servers its first case fails), leaf_executor_test, forward_core_test.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -28,9 +28,6 @@
 // With two watchers, a zone learns of changes in time although one of them is
 // frozen and the store refuses the nodes of all other zones.
 constexpr size_t kWatchersPerZone = 2;
-// The quantile of a service's latency after which a call counts as straggling
-// and is hedged.
-constexpr double kHedgeQuantile = 0.95;
 // A zone is near enough for callers if it has servers of at least this share of
 // the services that the zone with the most services has.
 constexpr double kMinNearServiceShare = 0.5;
@@ -146,7 +143,6 @@
           [this] { return ClaimsFromPeers(); },
           [this](const auto& event) { OnStoredClaim(event); },
           [this](platform::StoreHealth health) { OnStoreHealth(health); })),
-      hedge_policy_(kHedgeQuantile),
       extra_load_budget_(settings_.extra_load_rules,
                          dependencies_.scheduler,
                          [this] { return UsableNodeCount(); }),
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -30,7 +30,7 @@
 #include "LibQuery/log_line_limiter.h"
 #include "LibRouting/cluster_view.h"
 #include "LibUpstream/extra_load_budget.h"
-#include "LibUpstream/hedge_policy.h"
+#include "LibUpstream/load_aware_hedge_policy.h"
 #include "LibUpstream/server_registry.h"
 #include "LibUpstream/server_table.h"
 #include "LibUpstream/transport.h"
@@ -173,7 +173,7 @@
 
   upstream::ServerRegistry server_registry_;
   upstream::ServerTable servers_;
-  upstream::QuantileHedgePolicy hedge_policy_;
+  upstream::LoadAwareHedgePolicy hedge_policy_;
   upstream::WindowExtraLoadBudget extra_load_budget_;
   query::RouteUpstreamCache upstream_cache_;
   ClusterLeafNodes leaf_nodes_;
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -78,8 +78,9 @@
 void LeafExecution::SendDelegatedWork(const std::vector<DelegatedWork>& plan) {
   if (plan.empty())
     return;
-  const auto objective = std::chrono::duration_cast<base::Duration>(
-      request_.forward->objective * rules_.delegated_objective_share);
+  const base::Duration objective =
+      std::max(request_.forward->objective - rules_.delegation_reserve,
+               request_.forward->objective / 2);
   for (const DelegatedWork& work : plan) {
     const LeafRequest delegated =
         MakeDelegatedRequest(request_, work, objective);
@@ -303,9 +304,12 @@
   dependencies_->servers.OnCallEnded(
       attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
       Now());
-  if (outcome)
+  if (outcome) {
     dependencies_->hedge_policy.OnAnswer(request_.upstream, elapsed);
-  else if (outcome.error() == ShardFailure::kBroken)
+    if (outcome->forwarded && outcome->forwarded->load)
+      dependencies_->hedge_policy.OnLoadReport(request_.upstream,
+                                               *outcome->forwarded->load);
+  } else if (outcome.error() == ShardFailure::kBroken)
     base::Log(base::Event::kServerProtocolError,
               {{"server", attempt.server}, {"request", request_.request_id}});
 }
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -38,9 +38,10 @@
   // Share of its objective after which a forwarded request is hedged while too
   // few answers were seen to know the upstream's latency.
   double fallback_hedge_share = 0.3;
-  // Share of a request's objective that is set as the objective of work
-  // delegated to other nodes. The rest is for their answers' way back.
-  double delegated_objective_share = 0.9;
+  // Time of a request's objective that is kept, when work is delegated to
+  // another node, for the way there and back and for its answer to be merged.
+  // At most half of the objective.
+  base::Duration delegation_reserve = std::chrono::milliseconds(8);
   // Cost of a call to a server in another availability zone, expressed as the
   // additional time that a caller may wait to avoid such a call.
   base::Duration remote_cost{};
--- a/Libraries/LibUpstream/hedge_policy.h
+++ b/Libraries/LibUpstream/hedge_policy.h
@@ -9,6 +9,7 @@
 
 #include "LibBase/lock_striped.h"
 #include "LibBase/time.h"
+#include "LibUpstream/forwarded_request.h"
 #include "LibUpstream/latency_digest.h"
 
 namespace upstream {
@@ -23,6 +24,9 @@
   // Records the latency of an answered attempt.
   virtual void OnAnswer(const std::string& upstream,
                         base::Duration latency) = 0;
+  // Records the load that a server of the upstream has reported.
+  virtual void OnLoadReport(const std::string& upstream,
+                            const ServerLoad& load) = 0;
 };
 
 // A baseline for comparison: never hedges.
@@ -32,6 +36,7 @@
     return std::nullopt;
   }
   void OnAnswer(const std::string&, base::Duration) override {}
+  void OnLoadReport(const std::string&, const ServerLoad&) override {}
 };
 
 // Hedges a call once it takes longer than a quantile of the upstream's recent
@@ -41,6 +46,7 @@
   explicit QuantileHedgePolicy(double quantile) : quantile_(quantile) {}
   std::optional<base::Duration> Delay(const std::string& upstream) override;
   void OnAnswer(const std::string& upstream, base::Duration latency) override;
+  void OnLoadReport(const std::string&, const ServerLoad&) override {}
 
  private:
   const double quantile_;
