LibQuery: Answer before withdrawing the calls left behind

Cause: an answer at its objective first closed the connections of its open calls, 20 or more in a bad second, before it was written. A hedge check that abandoned the last open service did not complete its request.

Change: calls are withdrawn after the answer has been passed on; hedge checks complete the request like other events.

Ran: leaf_executor_test, whose new test fails without the change; forward_core_test.

--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -143,12 +143,18 @@
 
 void LeafExecution::Update(const std::function<void()>& change) {
   Completion completion;
+  std::vector<upstream::CallId> calls_to_withdraw;
   {
     const std::lock_guard lock(mutex_);
     change();
     completion = CompleteIfDone();
+    calls_to_withdraw = std::exchange(calls_to_withdraw_, {});
   }
+  // NOTE: An answer at its objective leaves many calls behind. To withdraw them
+  // first would make it late.
   completion.Run();
+  for (const upstream::CallId call : calls_to_withdraw)
+    dependencies_->transport.Cancel(call);
 }
 
 void LeafExecution::PrepareServices() {
@@ -399,11 +405,14 @@
   return open > std::max<ptrdiff_t>(limit, 1);
 }
 
-// Replaces lost calls and hedges the services that are still open.
 void LeafExecution::OnHedgeCheckDue() {
-  const std::lock_guard lock(mutex_);
-  if (open_services_ == 0)
-    return;
+  Update([this] {
+    if (open_services_ > 0)
+      HedgeOpenServices();
+  });
+}
+
+void LeafExecution::HedgeOpenServices() {
   const bool is_upstream_slow = IsUpstreamSlow();
   const auto delay = HedgeDelay();
   for (ServiceProgress& progress : services_) {
@@ -499,7 +508,7 @@
   attempt_recorder_.OnAttemptEnd(attempt, Now(), "abandoned");
   dependencies_->servers.OnCallEnded(attempt.server, CallEnd::kAbandoned,
                                      Now() - attempt.started, Now());
-  dependencies_->transport.Cancel(attempt.call);
+  calls_to_withdraw_.push_back(attempt.call);
 }
 
 void LeafExecution::MarkDone(ServiceProgress& progress) {
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -44,8 +44,8 @@
     }
   };
 
-  // Runs `change` under the lock and completes the request if nothing is open
-  // after it.
+  // Runs `change` under the lock, completes the request if nothing is open
+  // after it, and then withdraws the calls that are no longer needed.
   void Update(const std::function<void()>& change);
   void PrepareServices();
   // Sends the planned work to other nodes; called without holding `mutex_`.
@@ -90,6 +90,8 @@
   // upstream as a whole must be slow. No hedges are sent then.
   bool IsUpstreamSlow() const;
   void OnHedgeCheckDue();
+  // Replaces lost calls and hedges the services that are still open.
+  void HedgeOpenServices();
   bool IsLost(const Attempt& attempt, base::Duration usual_latency);
   // Sends one call in place of the service's lost calls. Returns whether any
   // call was lost.
@@ -100,6 +102,7 @@
   // missing.
   void Abandon(ServiceProgress& progress, MissingReason reason);
   void CancelAttempts(ServiceProgress& progress);
+  // Ends the attempt. Its call is withdrawn at the end of Update.
   void CancelAttempt(Attempt& attempt);
   void MarkDone(ServiceProgress& progress);
   // Whether enough services have answered for the request to complete at its
@@ -128,6 +131,7 @@
   uint32_t next_attempt_number_ = 1;
   LeafAnswer answer_;
   AttemptRecorder attempt_recorder_;
+  std::vector<upstream::CallId> calls_to_withdraw_;
   bool is_objective_reached_ = false;
   base::TimerId deadline_timer_ = base::TimerId::kNone;
   base::TimerId objective_timer_ = base::TimerId::kNone;
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -5,6 +5,8 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <functional>
 #include <optional>
 
 #include "Fakes/scripted_transport.h"
@@ -94,9 +96,11 @@
       hedge_policy_.OnAnswer("search", kUsualLatency);
   }
 
-  // Starts a request for one shard of each service.
+  // Starts a request for one shard of each service, and calls `on_answer` when
+  // it completes.
   RunningLeafRequestPtr Execute(
-      std::optional<ForwardOptions> options = std::nullopt) {
+      std::optional<ForwardOptions> options = std::nullopt,
+      std::function<void()> on_answer = [] {}) {
     LeafRequest request;
     request.request_id = "r" + std::to_string(next_request_++);
     request.upstream = "search";
@@ -108,7 +112,10 @@
     request.forward = std::move(options);
     answer.reset();
     return executor_.Execute(upstream_, std::move(request),
-                             [this](LeafAnswer given) { answer = given; });
+                             [this, on_answer](LeafAnswer given) {
+                               answer = given;
+                               on_answer();
+                             });
   }
 
   fakes::VirtualScheduler scheduler;
@@ -269,6 +276,23 @@
   CHECK(leaf.transport.calls.size() == 5);
 }
 
+// The load pattern: a query is answered at its objective while many of its
+// calls are open.
+TEST_CASE(
+    "an answer goes out before the calls it leaves behind are withdrawn") {
+  LeafFixture leaf(8);
+  leaf.Execute(MergedOptions(), [&] {
+    CHECK(std::ranges::none_of(leaf.transport.calls,
+                               &fakes::ScriptedTransport::Call::cancelled));
+  });
+  for (size_t call = 0; call < 4; ++call)
+    leaf.transport.AnswerForwarded(call);
+  leaf.scheduler.RunFor(milliseconds(80));
+  REQUIRE(leaf.answer);
+  CHECK(std::ranges::count_if(leaf.transport.calls,
+                              &fakes::ScriptedTransport::Call::cancelled) == 4);
+}
+
 TEST_CASE("work delegated by another node is not delegated again") {
   LeafFixture leaf(4, "far");
   ForwardOptions options = MergedOptions();
