LibHttp: Limit the bytes that are read and not parsed

Cause: Beast limits headers and bodies, but neither the extension of a chunk nor the trailers. A peer that sends these without end made the client hold all of it until its deadline, and the server until its request timeout.

Change: a connection holds 128 KiB at most that are not parsed yet.

Ran: endless_bytes_test, 9 endless responses and 6 endless requests. Before, extensions and trailers were read on past the bound by both sides (2 cases each); server_test.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -10,6 +10,7 @@
 #include <boost/beast.hpp>
 
 #include "LibHttp/address.h"
+#include "LibHttp/buffer_limit.h"
 
 namespace http {
 
@@ -40,7 +41,7 @@
 
   beast::tcp_stream stream;
   const std::string address;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer{kMaxBufferedBytes};
   std::atomic<bool> connected{false};
   std::atomic<bool> reusable{true};
   std::atomic<bool> closed{false};
--- a/Libraries/LibHttp/server.cc
+++ b/Libraries/LibHttp/server.cc
@@ -15,6 +15,7 @@
 #include <utility>
 
 #include "LibHttp/address.h"
+#include "LibHttp/buffer_limit.h"
 
 namespace http {
 
@@ -128,7 +129,7 @@
       asio::steady_timer delay(stream_.get_executor(), accept_delay);
       co_await delay.async_wait(asio::use_awaitable);
     }
-    beast::flat_buffer buffer;
+    beast::flat_buffer buffer{kMaxBufferedBytes};
     Persistence persistence = Persistence::kKeepAlive;
     while (persistence == Persistence::kKeepAlive)
       persistence = co_await ServeRequest(buffer);
