LibUpstream: Reopen the connection that a cancelled call closed

Change: once a cancelled call has ended, a connection is opened in advance if none is left.

Ran: http_transport_test, whose second case fails without the change.

--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -169,8 +169,10 @@
                              http::ExchangeResult result) {
   state->pool->Release(call->target.address, connection);
   bool try_again = false;
+  bool cancelled = false;
   {
     const std::lock_guard lock(call->mutex);
+    cancelled = call->cancelled;
     // The server may have closed a reused connection while it was idle. Nothing
     // of the call was sent in that case, so it can use another connection.
     try_again = !result && was_connected && !call->cancelled && !call->resent &&
@@ -184,6 +186,10 @@
       return;
     }
   }
+  // NOTE: Cancelling closed the connection. Without another one, the next call
+  // to the server would wait until it accepts a connection.
+  if (cancelled)
+    state->pool->Prepare(call->target.address, call->target.max_connections);
   state->Finish(call, std::move(result));
 }
 
