LibQuery: Keep hedge checks apart when the objective has passed

Cause: a request that waits past its objective before it begins, for instance for what a restarted node has to learn, has an objective of 1 us left. While the upstream's latency is unknown, the hedge delay is a share of that: 0. The checks then followed each other without a pause until the deadline. A test of restarted nodes ran without end; the trace showed the timer.

Change: hedge checks are at least 1 ms apart.

Ran: leaf_executor_test with a new case, forward_core_test.

--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -23,6 +23,8 @@
 constexpr base::Duration kMinDelegationObjective =
     std::chrono::milliseconds(15);
 
+constexpr base::Duration kMinHedgeDelay = std::chrono::milliseconds(1);
+
 }  // namespace
 
 LeafExecution::LeafExecution(
@@ -388,7 +390,9 @@
   if (!delay && request_.forward && request_.forward->objective.count() > 0)
     delay = std::chrono::duration_cast<base::Duration>(
         request_.forward->objective * rules_.fallback_hedge_share);
-  return delay;
+  // NOTE: The objective may have passed before the request began. Hedge checks
+  // without a delay would follow each other without end.
+  return delay ? std::optional(std::max(*delay, kMinHedgeDelay)) : std::nullopt;
 }
 
 bool LeafExecution::IsUpstreamSlow() const {
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -71,6 +71,7 @@
     std::string third_server_zone = "zone";
     // Without extra load, a call that is sent again must need no budget.
     double extra_load = 0;
+    int measured_answers = kMeasuredAnswers;
     LeafRules rules = {};
   };
   explicit LeafFixture(const Options& options)
@@ -92,7 +93,7 @@
         entry.servers.back().availability_zone = options.third_server_zone;
       upstream_->services.push_back(std::move(entry));
     }
-    for (int i = 0; i < kMeasuredAnswers; ++i)
+    for (int i = 0; i < options.measured_answers; ++i)
       hedge_policy_.OnAnswer("search", kUsualLatency);
   }
 
@@ -293,6 +294,18 @@
                               &fakes::ScriptedTransport::Call::cancelled) == 4);
 }
 
+TEST_CASE("a request whose objective has passed is hedged at a bounded rate") {
+  LeafFixture leaf(LeafFixture::Options{.measured_answers = 0});
+  ForwardOptions options = MergedOptions();
+  options.objective = base::Duration(1);
+  options.min_answered_share = 1;
+  leaf.Execute(options);
+  size_t steps = 0;
+  while (!leaf.answer && steps < 1000 && leaf.scheduler.RunNext())
+    ++steps;
+  CHECK(leaf.answer);
+}
+
 TEST_CASE("work delegated by another node is not delegated again") {
   LeafFixture leaf(4, "far");
   ForwardOptions options = MergedOptions();
