LibPlatform: List entries that may be stale at the start

Change: a node lists the entries at its start from reads that may be stale, which the platform prices at a tenth and does not limit. It does not spread them. The latest state is read as before, and corrects them.

Ran: forward_core_test with two new cases.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -131,7 +131,9 @@
           dependencies_.store,
           [this] { return IsZoneWatcher("configuration"); },
           [this] { return ConfigurationFromPeers(); },
-          [this](const auto& event) { OnStoredConfiguration(event); },
+          [this](const auto& event, platform::ReadMode) {
+            OnStoredConfiguration(event);
+          },
           [this](platform::StoreHealth health) { OnStoreHealth(health); })),
       registry_follower_(platform::PrefixFollower::Create(
           settings_.registry_prefix,
@@ -141,7 +143,9 @@
           dependencies_.store,
           [this] { return IsZoneWatcher("registry"); },
           [this] { return ClaimsFromPeers(); },
-          [this](const auto& event) { OnStoredClaim(event); },
+          [this](const auto& event, platform::ReadMode mode) {
+            OnStoredClaim(event, mode);
+          },
           [this](platform::StoreHealth health) { OnStoreHealth(health); })),
       extra_load_budget_(settings_.extra_load_rules,
                          dependencies_.scheduler,
@@ -236,7 +240,8 @@
                                  *std::move(configuration));
 }
 
-void ForwardCore::OnStoredClaim(const platform::StoreEvent& event) {
+void ForwardCore::OnStoredClaim(const platform::StoreEvent& event,
+                                platform::ReadMode mode) {
   const auto claim = readers_.read_claim(event);
   if (!claim) {
     base::Log(Event::kClaimRejected,
@@ -249,8 +254,13 @@
     return;
   // NOTE: Entries expire during an outage of the store. A server that is still
   // running soon has a newer entry, which replaces this removal.
+  // NOTE: All nodes list their entries when they start. Were these spread, each
+  // node would be sent each of them by several peers.
+  const auto spread = mode == platform::ReadMode::kMayBeStale
+                          ? membership::FactTable::Spread::kNone
+                          : membership::FactTable::Spread::kAsRumour;
   if (claim->server || !IsStoreSilentOrRecovering())
-    facts_.AddIfNewer(ToFact(*claim));
+    facts_.AddIfNewer(ToFact(*claim), spread);
   else
     dependencies_.scheduler.After(kRemovalDelay, [this, claim = *claim] {
       facts_.AddIfNewer(ToFact(claim));
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -130,7 +130,8 @@
  private:
   query::ForwardFilterChain MakeFilters();
   void OnStoredConfiguration(const platform::StoreEvent& event);
-  void OnStoredClaim(const platform::StoreEvent& event);
+  void OnStoredClaim(const platform::StoreEvent& event,
+                     platform::ReadMode mode);
   void OnFact(const membership::Fact& fact);
   void ApplyClaim(const upstream::ServerClaim& claim);
   void OnConfiguration(const config::Manifest& manifest);
--- a/Libraries/LibPlatform/entry_store.h
+++ b/Libraries/LibPlatform/entry_store.h
@@ -49,6 +49,10 @@
   bool operator==(const StoreChanges&) const = default;
 };
 
+// Whether a read returns the latest state, or may return one that is seconds
+// old and costs the store less.
+enum class ReadMode : uint8_t { kLatest, kMayBeStale };
+
 class EntryStore {
  public:
   virtual ~EntryStore() = default;
@@ -58,6 +62,7 @@
   // after the key `after_key`, or with the first key if that is empty.
   virtual void List(const std::string& prefix,
                     const std::string& after_key,
+                    ReadMode mode,
                     PageCallback callback) = 0;
 
   using ChangesCallback = std::function<void(base::Result<StoreChanges>)>;
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -62,12 +62,26 @@
     const std::lock_guard lock(mutex_);
     started_ = scheduler_.Now();
   }
+  ListStale("");
   scheduler_.After(rules_.start_delay,
                    [self = shared_from_this()] { self->ScheduleNextRead(); });
 }
 
+void PrefixFollower::ListStale(const std::string& after_key) {
+  store_.List(prefix_, after_key, ReadMode::kMayBeStale,
+              [self = shared_from_this()](base::Result<StorePage> page) {
+                if (!page)
+                  return;  // The first read of the latest state is due soon.
+                for (const StoreEntry& entry : page->entries)
+                  self->Apply({entry.key, entry.revision, entry.value},
+                              ReadMode::kMayBeStale);
+                if (page->has_more && !page->entries.empty())
+                  self->ListStale(page->entries.back().key);
+              });
+}
+
 void PrefixFollower::List(const std::string& after_key) {
-  store_.List(prefix_, after_key,
+  store_.List(prefix_, after_key, ReadMode::kLatest,
               [self = shared_from_this(), after_key](auto page) {
                 self->OnPage(after_key, std::move(page));
               });
@@ -92,7 +106,8 @@
       listed_revisions_[entry.key] = entry.revision;
   }
   for (StoreEntry& entry : page->entries)
-    Apply({entry.key, entry.revision, std::move(entry.value)});
+    Apply({entry.key, entry.revision, std::move(entry.value)},
+          ReadMode::kLatest);
   if (page->has_more && !page->entries.empty()) {
     List(page->entries.back().key);
     return;
@@ -116,7 +131,8 @@
     watch_revision_ = listing_revision_;
     last_read_ = scheduler_.Now();
   }
-  std::ranges::for_each(removed, [this](auto& event) { Apply(event); });
+  std::ranges::for_each(
+      removed, [this](auto& event) { Apply(event, ReadMode::kLatest); });
   ScheduleNextRead();
 }
 
@@ -171,7 +187,7 @@
     return;
   }
   for (StoreEvent& event : changes->events)
-    Apply(std::move(event));
+    Apply(std::move(event), ReadMode::kLatest);
   {
     const std::lock_guard lock(mutex_);
     watch_revision_ = std::max(watch_revision_, changes->store_revision);
@@ -186,7 +202,7 @@
 
 // Records the event and calls the listener, unless an equal or later revision
 // of the entry is known.
-void PrefixFollower::Apply(StoreEvent event) {
+void PrefixFollower::Apply(StoreEvent event, ReadMode mode) {
   {
     const std::lock_guard lock(mutex_);
     const auto known = known_revisions_.find(event.key);
@@ -197,7 +213,7 @@
     else if (known != known_revisions_.end())
       known_revisions_.erase(known);
   }
-  listener_(event);
+  listener_(event, mode);
 }
 
 void PrefixFollower::OnFailure(const base::Error& error,
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -27,8 +27,8 @@
   base::Duration watch_wait = std::chrono::seconds(4);
   // The delay after changes, so that one call fetches a series of them.
   base::Duration change_batch_delay = std::chrono::milliseconds(300);
-  // The delay of the first read, in which a node that has just started learns
-  // from its peers whether it is to watch.
+  // The delay of the first read of the latest state, in which a node that has
+  // just started learns from its peers whether it is to watch.
   base::Duration start_delay = std::chrono::milliseconds(500);
   // After this time, a node lists the entries even if it does not watch, unless
   // it has learned of entries from its peers.
@@ -50,8 +50,9 @@
 
 class PrefixFollower : public std::enable_shared_from_this<PrefixFollower> {
  public:
-  // Called once for each change, in rising order of an entry's revisions.
-  using Listener = std::function<void(const StoreEvent&)>;
+  // Called once for each change, in rising order of an entry's revisions, with
+  // the mode of the read that returned it.
+  using Listener = std::function<void(const StoreEvent&, ReadMode)>;
   // Called when the store stops answering and when it starts to answer.
   using HealthListener = std::function<void(StoreHealth)>;
 
@@ -87,13 +88,16 @@
 
   // Returns whether this node is to list the entries now.
   bool IsListingDue(bool is_watcher);
+  // Lists entries that may be stale, so that a node that has just started knows
+  // most of them at once, at low cost to the store.
+  void ListStale(const std::string& after_key);
   void List(const std::string& after_key);
   void OnPage(const std::string& after_key, base::Result<StorePage> page);
   void FinishListing();
   void ScheduleNextRead();
   void Watch();
   void OnChanges(base::Result<StoreChanges> changes);
-  void Apply(StoreEvent event);
+  void Apply(StoreEvent event, ReadMode mode);
   void OnFailure(const base::Error& error, std::function<void()> retry);
   void SetHealth(StoreHealth health, const std::string& reason);
 
--- a/Tests/Fakes/fake_entry_store.cc
+++ b/Tests/Fakes/fake_entry_store.cc
@@ -39,26 +39,32 @@
 
 void FakeEntryStore::List(const std::string& prefix,
                           const std::string& after_key,
+                          platform::ReadMode mode,
                           PageCallback callback) {
-  ++state_.calls;
-  scheduler_.After(IsDown() ? kListTimeout : kListDelay,
-                   [this, prefix, after_key, callback = std::move(callback)] {
-                     if (IsDown()) {
-                       callback(tl::make_unexpected(UnavailableError()));
-                       return;
-                     }
-                     platform::StorePage page;
-                     page.store_revision = state_.revision;
-                     for (const auto& [key, entry] : state_.entries) {
-                       if (!key.starts_with(prefix) || key <= after_key)
-                         continue;
-                       page.has_more = page.entries.size() == state_.page_size;
-                       if (page.has_more)
-                         break;
-                       page.entries.push_back(entry);
-                     }
-                     callback(std::move(page));
-                   });
+  const bool may_be_stale = mode == platform::ReadMode::kMayBeStale;
+  state_.calls += may_be_stale ? 0 : 1;
+  scheduler_.After(
+      IsDown() ? kListTimeout : kListDelay,
+      [this, prefix, after_key, may_be_stale, callback = std::move(callback)] {
+        if (IsDown()) {
+          callback(tl::make_unexpected(UnavailableError()));
+          return;
+        }
+        platform::StorePage page;
+        page.store_revision = state_.revision;
+        const auto& entries = may_be_stale && state_.stale_entries
+                                  ? *state_.stale_entries
+                                  : state_.entries;
+        for (const auto& [key, entry] : entries) {
+          if (!key.starts_with(prefix) || key <= after_key)
+            continue;
+          page.has_more = page.entries.size() == state_.page_size;
+          if (page.has_more)
+            break;
+          page.entries.push_back(entry);
+        }
+        callback(std::move(page));
+      });
 }
 
 void FakeEntryStore::Watch(const std::string& prefix,
--- a/Tests/Fakes/fake_entry_store.h
+++ b/Tests/Fakes/fake_entry_store.h
@@ -5,6 +5,7 @@
 #define FAKES_FAKE_ENTRY_STORE_H_
 
 #include <map>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -24,7 +25,9 @@
   // Names of the nodes whose calls fail.
   std::set<std::string> rejected_nodes;
   bool outage = false;  // All calls fail.
-  uint64_t calls = 0;
+  uint64_t calls = 0;   // But for reads that may be stale.
+  // What reads that may be stale return in place of `entries`, if set.
+  std::optional<std::map<std::string, platform::StoreEntry>> stale_entries;
   size_t page_size = 3;  // In entries.
 
   void Put(const std::string& key, const std::string& value);
@@ -43,6 +46,7 @@
 
   void List(const std::string& prefix,
             const std::string& after_key,
+            platform::ReadMode mode,
             PageCallback callback) override;
   void Watch(const std::string& prefix,
              uint64_t revision,
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -288,6 +288,35 @@
   CHECK(tier.store().calls - calls_before <= kWatches * 6);
 }
 
+// The load pattern: callers that return at once after all processes were
+// killed.
+TEST_CASE("nodes that were all restarted answer at once") {
+  const auto tier = MakeTier();
+  for (int node = 0; node < kNodeCount; ++node)
+    tier->Restart(node);
+  tier->RunFor(milliseconds(100));
+  for (int node = 0; node < kNodeCount; ++node)
+    CHECK(tier->core(node).is_ready());
+  const auto answer = tier->SendAndWait(0, "/all/x", kRequestTime);
+  REQUIRE(answer);
+  CHECK(answer->outcome == ForwardOutcome::kMerged);
+}
+
+TEST_CASE("what a stale listing says of a removed server is corrected") {
+  const auto tier = MakeTier();
+  tier->store().stale_entries = tier->store().entries;
+  tier->RemoveServer("xs0");
+  tier->RunFor(seconds(3));
+  for (int node = 0; node < kNodeCount; ++node)
+    tier->Restart(node);
+  tier->RunFor(seconds(2));
+  tier->log().clear();
+  for (int i = 0; i < 20; ++i)
+    tier->SendAndWait(i % kNodeCount, "/one/x", milliseconds(50));
+  CHECK(WasCalled(tier->log(), "ys0"));
+  CHECK_FALSE(WasCalled(tier->log(), "xs0"));
+}
+
 // Servers that leave must get no more requests after 3 s, on any machine and
 // under load. Half of it is left for that.
 constexpr base::Duration kNewsBound = milliseconds(1500);
