LibPlatform: List the latest configuration at the start

All nodes had been killed, and the older routes were in force for another 0.4 s.

Change: the configuration, one page, is listed at the start in its latest state. Only the entries of servers may be stale; the first read by a reader of the zone corrects these.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -125,7 +125,8 @@
                       }),
       configuration_follower_(platform::PrefixFollower::Create(
           settings_.configuration_prefix,
-          {},
+          // An older configuration must not come into force again.
+          {.first_listing = platform::ReadMode::kLatest},
           dependencies_.scheduler,
           dependencies_.random,
           dependencies_.store,
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -62,21 +62,21 @@
     const std::lock_guard lock(mutex_);
     started_ = scheduler_.Now();
   }
-  ListStale("");
+  ListAtStart("");
   scheduler_.After(rules_.start_delay,
                    [self = shared_from_this()] { self->ScheduleNextRead(); });
 }
 
-void PrefixFollower::ListStale(const std::string& after_key) {
-  store_.List(prefix_, after_key, ReadMode::kMayBeStale,
+void PrefixFollower::ListAtStart(const std::string& after_key) {
+  store_.List(prefix_, after_key, rules_.first_listing,
               [self = shared_from_this()](base::Result<StorePage> page) {
                 if (!page)
                   return;  // The first read of the latest state is due soon.
                 for (const StoreEntry& entry : page->entries)
                   self->Apply({entry.key, entry.revision, entry.value},
-                              ReadMode::kMayBeStale);
+                              self->rules_.first_listing);
                 if (page->has_more && !page->entries.empty())
-                  self->ListStale(page->entries.back().key);
+                  self->ListAtStart(page->entries.back().key);
               });
 }
 
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -27,6 +27,9 @@
   base::Duration watch_wait = std::chrono::seconds(4);
   // The delay after changes, so that one call fetches a series of them.
   base::Duration change_batch_delay = std::chrono::milliseconds(300);
+  // How the entries are listed when the node starts, so that it knows them at
+  // once.
+  ReadMode first_listing = ReadMode::kMayBeStale;
   // The delay of the first read of the latest state, in which a node that has
   // just started learns from its peers whether it is to watch.
   base::Duration start_delay = std::chrono::milliseconds(500);
@@ -88,9 +91,8 @@
 
   // Returns whether this node is to list the entries now.
   bool IsListingDue(bool is_watcher);
-  // Lists entries that may be stale, so that a node that has just started knows
-  // most of them at once, at low cost to the store.
-  void ListStale(const std::string& after_key);
+  // Lists the entries when the node starts. Does not look for removed ones.
+  void ListAtStart(const std::string& after_key);
   void List(const std::string& after_key);
   void OnPage(const std::string& after_key, base::Result<StorePage> page);
   void FinishListing();
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -30,9 +30,9 @@
 // Limits and policies for the execution of leaf requests.
 struct LeafRules {
   ReplicaChoice replica_choice = ReplicaChoice::kLeastExpectedWait;
-  // No hedges are sent while more than this share of the services that this node
-  // calls is still open: then the upstream as a whole is slow, not a few of its
-  // servers.
+  // No hedges are sent while more than this share of the services that this
+  // node calls is still open: then the upstream as a whole is slow, not a few
+  // of its servers.
   double slow_upstream_share = 0.35;
   // Calls that may be sent for one service of one request, including the first.
   int max_attempts = 3;
