LibNode: Connect in advance only once the peers are known

Each new process believed that it was alone, and went through the servers of all services, 8 each 100 ms, before it searched again.

Change: the first search is 1 s after the start, and a search replaces what is left of the one before.

Ran: connection_warmer_test; two of its cases fail without the change. forward_core_test.

--- a/Libraries/LibNode/connection_warmer.cc
+++ b/Libraries/LibNode/connection_warmer.cc
@@ -14,6 +14,9 @@
 // delaying requests.
 constexpr size_t kTargetsPerRun = 8;
 constexpr base::Duration kSearchPeriod = std::chrono::seconds(2);
+// A node that has just started does not know its peers yet, and would open
+// connections to the servers of all services.
+constexpr base::Duration kFirstSearchDelay = std::chrono::seconds(1);
 
 }  // namespace
 
@@ -28,13 +31,16 @@
       upstream_cache_(upstream_cache),
       max_connections_(std::move(max_connections)),
       transport_(transport),
-      scheduler_(scheduler) {}
+      scheduler_(scheduler),
+      next_search_(scheduler.Now() + kFirstSearchDelay) {}
 
 void ConnectionWarmer::Run(const config::ConfigurationPtr& configuration) {
   if (!configuration->routes)
     return;
   const base::Instant now = scheduler_.Now();
-  if (pending_targets_.empty() && now >= next_search_) {
+  // NOTE: What is left of the last search may be outdated: other nodes may have
+  // become the holders.
+  if (now >= next_search_) {
     pending_targets_ = FindTargets(configuration);
     next_search_ = now + kSearchPeriod;
   }
--- a/Libraries/LibNode/connection_warmer.h
+++ b/Libraries/LibNode/connection_warmer.h
@@ -46,7 +46,7 @@
   upstream::Transport& transport_;
   base::Scheduler& scheduler_;
   std::vector<upstream::ServerTarget> pending_targets_;
-  base::Instant next_search_{};  // When targets are searched for again.
+  base::Instant next_search_;  // When targets are searched for again.
 };
 
 }  // namespace node
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -22,6 +22,7 @@
 constexpr int kServiceCount = 4;
 // Enough requests to tell the weights of a split apart from chance.
 constexpr int kSplitRequestCount = 400;
+constexpr int kManyNodes = 24;
 constexpr base::Duration kRequestTime = milliseconds(500);
 
 // Returns a tier of `kNodeCount` nodes and `kServiceCount` services of 3
@@ -270,7 +271,6 @@
   CHECK(tier->transport(0).started() == 0);
 }
 
-constexpr int kManyNodes = 24;
 // Two nodes of each of two zones watch two prefixes.
 constexpr uint64_t kWatches = 8;
 
