--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -464,9 +464,21 @@
   const auto gauge = [](std::string_view name, uint64_t value) {
     return std::string(name) + " " + std::to_string(value) + "\n";
   };
+  // Only the nodes that read the store have an age.
+  const auto age_gauge = [&](const std::string& task,
+                             platform::PrefixFollower& follower) {
+    const auto age = follower.Age();
+    return age ? gauge(
+                     "celerycroft_store_read_age_ms{task=\"" + task + "\"}",
+                     std::chrono::duration_cast<std::chrono::milliseconds>(*age)
+                         .count())
+               : "";
+  };
   return metrics_.ToPrometheusText() +
          gauge("celerycroft_configuration_revision",
                configuration_->Current()->revision) +
+         age_gauge("configuration", *configuration_follower_) +
+         age_gauge("registry", *registry_follower_) +
          gauge("celerycroft_running_requests", running_request_count_) +
          gauge("celerycroft_usable_nodes", UsableNodeCount()) +
          gauge("celerycroft_log_lines_dropped_total", base::DroppedLogLines());
--- a/Libraries/LibPeer/network.cc
+++ b/Libraries/LibPeer/network.cc
@@ -388,6 +388,10 @@
   loop_->Stop();
 }
 
+void Network::Post(std::function<void()> task) {
+  loop_->Post(std::move(task));
+}
+
 void Network::ExecuteLeaf(const std::string& address,
                           query::LeafRequest request,
                           CallCallback<query::LeafAnswer> callback) {
--- a/Libraries/LibPeer/network.h
+++ b/Libraries/LibPeer/network.h
@@ -30,6 +30,9 @@
   // and the callbacks of calls that wait for a peer are not called.
   void Stop();
 
+  // Runs `task` on the network's thread. Must not be called after Stop.
+  void Post(std::function<void()> task);
+
   // PeerClient:
   void ExecuteLeaf(const std::string& address,
                    query::LeafRequest request,
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -12,6 +12,14 @@
 
 namespace {
 
+constexpr std::string_view kListName = "list";
+constexpr std::string_view kWatchName = "watch";
+
+std::string ToWholeMilliseconds(base::Duration duration) {
+  return std::to_string(
+      std::chrono::duration_cast<std::chrono::milliseconds>(duration).count());
+}
+
 // Returns a random duration between half of `duration` and 1.5 times it.
 base::Duration Jitter(base::Duration duration, base::Random& random) {
   return std::chrono::duration_cast<base::Duration>(duration *
@@ -67,6 +75,13 @@
                    [self = shared_from_this()] { self->ScheduleNextRead(); });
 }
 
+std::optional<base::Duration> PrefixFollower::Age() {
+  const std::lock_guard lock(mutex_);
+  if (!last_read_)
+    return std::nullopt;
+  return scheduler_.Now() - *last_read_;
+}
+
 void PrefixFollower::ListAtStart(const std::string& after_key) {
   store_.List(prefix_, after_key, rules_.first_listing,
               [self = shared_from_this()](base::Result<StorePage> page) {
@@ -81,16 +96,18 @@
 }
 
 void PrefixFollower::List(const std::string& after_key) {
+  const ReadCall call{kListName, scheduler_.Now()};
   store_.List(prefix_, after_key, ReadMode::kLatest,
-              [self = shared_from_this(), after_key](auto page) {
-                self->OnPage(after_key, std::move(page));
+              [self = shared_from_this(), call, after_key](auto page) {
+                self->OnPage(call, after_key, std::move(page));
               });
 }
 
-void PrefixFollower::OnPage(const std::string& after_key,
+void PrefixFollower::OnPage(const ReadCall& call,
+                            const std::string& after_key,
                             base::Result<StorePage> page) {
   if (!page) {
-    OnFailure(page.error(), [this] { List(""); });
+    OnFailure(call, page.error(), [this] { List(""); });
     return;
   }
   SetHealth(StoreHealth::kAvailable, "");
@@ -170,15 +187,17 @@
     const std::lock_guard lock(mutex_);
     revision = watch_revision_;
   }
+  const ReadCall call{kWatchName, scheduler_.Now()};
   store_.Watch(prefix_, revision, rules_.watch_wait,
-               [self = shared_from_this()](auto changes) {
-                 self->OnChanges(std::move(changes));
+               [self = shared_from_this(), call](auto changes) {
+                 self->OnChanges(call, std::move(changes));
                });
 }
 
-void PrefixFollower::OnChanges(base::Result<StoreChanges> changes) {
+void PrefixFollower::OnChanges(const ReadCall& call,
+                               base::Result<StoreChanges> changes) {
   if (!changes) {
-    OnFailure(changes.error(), [this] { Watch(); });
+    OnFailure(call, changes.error(), [this] { Watch(); });
     return;
   }
   SetHealth(StoreHealth::kAvailable, "");
@@ -216,7 +235,8 @@
   listener_(event, mode);
 }
 
-void PrefixFollower::OnFailure(const base::Error& error,
+void PrefixFollower::OnFailure(const ReadCall& call,
+                               const base::Error& error,
                                std::function<void()> retry) {
   base::Duration delay{};
   {
@@ -224,6 +244,13 @@
     delay = next_retry_delay_;
     next_retry_delay_ = std::min(next_retry_delay_ * 2, rules_.max_retry_delay);
   }
+  const std::optional<base::Duration> age = Age();
+  base::Log(base::Event::kStoreReadFailed,
+            {{"prefix", prefix_},
+             {"call", std::string(call.name)},
+             {"tookMs", ToWholeMilliseconds(scheduler_.Now() - call.start)},
+             {"ageMs", age ? ToWholeMilliseconds(*age) : ""},
+             {"reason", error.message()}});
   SetHealth(StoreHealth::kUnavailable, error.message());
   scheduler_.After(
       Jitter(delay, random_),
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -13,6 +13,7 @@
 #include <mutex>
 #include <optional>
 #include <string>
+#include <string_view>
 #include <vector>
 
 #include "LibBase/random.h"
@@ -78,7 +79,17 @@
 
   void Start();
 
+  // Returns how long ago this node last read the latest state from the store;
+  // unset before the first time.
+  std::optional<base::Duration> Age();
+
  private:
+  // A call to the store, for logs.
+  struct ReadCall {
+    std::string_view name;
+    base::Instant start;
+  };
+
   PrefixFollower(std::string prefix,
                  PrefixFollowerRules rules,
                  base::Scheduler& scheduler,
@@ -94,13 +105,17 @@
   // Lists the entries when the node starts. Does not look for removed ones.
   void ListAtStart(const std::string& after_key);
   void List(const std::string& after_key);
-  void OnPage(const std::string& after_key, base::Result<StorePage> page);
+  void OnPage(const ReadCall& call,
+              const std::string& after_key,
+              base::Result<StorePage> page);
   void FinishListing();
   void ScheduleNextRead();
   void Watch();
-  void OnChanges(base::Result<StoreChanges> changes);
+  void OnChanges(const ReadCall& call, base::Result<StoreChanges> changes);
   void Apply(StoreEvent event, ReadMode mode);
-  void OnFailure(const base::Error& error, std::function<void()> retry);
+  void OnFailure(const ReadCall& call,
+                 const base::Error& error,
+                 std::function<void()> retry);
   void SetHealth(StoreHealth health, const std::string& reason);
 
   const std::string prefix_;
