Tests: Show that a silent store keeps an old configuration in force

Read calls whose connection is silent end 5 s after their start (204, tookMs 5000 on all four nodes), while nodes must follow 4 s after the end of the disturbance.

The fake store gets silent connections, and the time limit of a store's call moves into the interface, since the fake has to keep it too.

--- a/Libraries/LibPlatform/entry_store.h
+++ b/Libraries/LibPlatform/entry_store.h
@@ -53,6 +53,11 @@
 // old and costs the store less.
 enum class ReadMode : uint8_t { kLatest, kMayBeStale };
 
+// A call fails if its answer is this late: after a watch's wait, or after the
+// start of any other call.
+inline constexpr base::Duration kStoreCallTimeout = std::chrono::seconds(1);
+
+// Callbacks are called once, and never from within the call that takes them.
 class EntryStore {
  public:
   virtual ~EntryStore() = default;
--- a/Tests/Fakes/fake_entry_store.cc
+++ b/Tests/Fakes/fake_entry_store.cc
@@ -11,7 +11,6 @@
 
 constexpr base::Duration kListDelay = std::chrono::milliseconds(4);
 constexpr base::Duration kWatchPollInterval = std::chrono::milliseconds(5);
-constexpr base::Duration kListTimeout = std::chrono::milliseconds(1000);
 
 base::Error UnavailableError() {
   return base::Error(base::ErrorKind::kUnavailable, "the store is unavailable",
@@ -37,34 +36,40 @@
   return state_.outage || state_.rejected_nodes.contains(self_);
 }
 
+bool FakeEntryStore::IsSilenced(uint64_t call_number) const {
+  return state_.silent || call_number <= state_.last_silenced_call;
+}
+
 void FakeEntryStore::List(const std::string& prefix,
                           const std::string& after_key,
                           platform::ReadMode mode,
                           PageCallback callback) {
   const bool may_be_stale = mode == platform::ReadMode::kMayBeStale;
   state_.calls += may_be_stale ? 0 : 1;
-  scheduler_.After(
-      IsDown() ? kListTimeout : kListDelay,
-      [this, prefix, after_key, may_be_stale, callback = std::move(callback)] {
-        if (IsDown()) {
-          callback(tl::make_unexpected(UnavailableError()));
-          return;
-        }
-        platform::StorePage page;
-        page.store_revision = state_.revision;
-        const auto& entries = may_be_stale && state_.stale_entries
-                                  ? *state_.stale_entries
-                                  : state_.entries;
-        for (const auto& [key, entry] : entries) {
-          if (!key.starts_with(prefix) || key <= after_key)
-            continue;
-          page.has_more = page.entries.size() == state_.page_size;
-          if (page.has_more)
-            break;
-          page.entries.push_back(entry);
-        }
-        callback(std::move(page));
-      });
+  const uint64_t call_number = ++state_.last_call_number;
+  const bool is_unanswered = IsDown() || IsSilenced(call_number);
+  scheduler_.After(is_unanswered ? platform::kStoreCallTimeout : kListDelay,
+                   [this, prefix, after_key, may_be_stale, is_unanswered,
+                    callback = std::move(callback)] {
+                     if (is_unanswered || IsDown()) {
+                       callback(tl::make_unexpected(UnavailableError()));
+                       return;
+                     }
+                     platform::StorePage page;
+                     page.store_revision = state_.revision;
+                     const auto& entries = may_be_stale && state_.stale_entries
+                                               ? *state_.stale_entries
+                                               : state_.entries;
+                     for (const auto& [key, entry] : entries) {
+                       if (!key.starts_with(prefix) || key <= after_key)
+                         continue;
+                       page.has_more = page.entries.size() == state_.page_size;
+                       if (page.has_more)
+                         break;
+                       page.entries.push_back(entry);
+                     }
+                     callback(std::move(page));
+                   });
 }
 
 void FakeEntryStore::Watch(const std::string& prefix,
@@ -72,34 +77,39 @@
                            base::Duration wait,
                            ChangesCallback callback) {
   ++state_.calls;
-  Poll(prefix, revision, scheduler_.Now() + wait, std::move(callback));
+  Poll({prefix, revision, scheduler_.Now() + wait, ++state_.last_call_number,
+        std::move(callback)});
 }
 
-void FakeEntryStore::Poll(const std::string& prefix,
-                          uint64_t revision,
-                          base::Instant deadline,
-                          ChangesCallback callback) {
-  scheduler_.After(kWatchPollInterval, [this, prefix, revision, deadline,
-                                        callback =
-                                            std::move(callback)]() mutable {
+void FakeEntryStore::Poll(WaitingWatch watch) {
+  scheduler_.After(kWatchPollInterval, [this,
+                                        watch = std::move(watch)]() mutable {
+    if (IsSilenced(watch.call_number)) {
+      scheduler_.After(
+          watch.deadline + platform::kStoreCallTimeout - scheduler_.Now(),
+          [callback = std::move(watch.callback)] {
+            callback(tl::make_unexpected(UnavailableError()));
+          });
+      return;
+    }
     if (IsDown()) {
-      callback(tl::make_unexpected(UnavailableError()));
+      watch.callback(tl::make_unexpected(UnavailableError()));
       return;
     }
     platform::StoreChanges changes;
     changes.store_revision = state_.revision;
-    changes.is_history_lost = revision < state_.last_dropped_revision;
+    changes.is_history_lost = watch.revision < state_.last_dropped_revision;
     std::ranges::copy_if(state_.history, std::back_inserter(changes.events),
                          [&](const platform::StoreEvent& event) {
-                           return event.revision > revision &&
-                                  event.key.starts_with(prefix);
+                           return event.revision > watch.revision &&
+                                  event.key.starts_with(watch.prefix);
                          });
     const bool is_due = changes.is_history_lost || !changes.events.empty() ||
-                        scheduler_.Now() >= deadline;
+                        scheduler_.Now() >= watch.deadline;
     if (is_due)
-      callback(std::move(changes));
+      watch.callback(std::move(changes));
     else
-      Poll(prefix, revision, deadline, std::move(callback));
+      Poll(std::move(watch));
   });
 }
 
--- a/Tests/Fakes/fake_entry_store.h
+++ b/Tests/Fakes/fake_entry_store.h
@@ -25,13 +25,20 @@
   // Names of the nodes whose calls fail.
   std::set<std::string> rejected_nodes;
   bool outage = false;  // All calls fail.
-  uint64_t calls = 0;   // But for reads that may be stale.
+  // Calls that begin or wait now get no answer, not even later.
+  bool silent = false;
+  uint64_t calls = 0;  // But for reads that may be stale.
+  uint64_t last_call_number = 0;
+  // Calls up to this number get no answer.
+  uint64_t last_silenced_call = 0;
   // What reads that may be stale return in place of `entries`, if set.
   std::optional<std::map<std::string, platform::StoreEntry>> stale_entries;
   size_t page_size = 3;  // In entries.
 
   void Put(const std::string& key, const std::string& value);
   void Remove(const std::string& key);
+  // Silences the connections that are open. Each call has one of its own.
+  void SilenceOpenConnections() { last_silenced_call = last_call_number; }
   // Drops the history of all changes so far; the entries stay.
   void DropHistory() { last_dropped_revision = revision; }
 };
@@ -54,13 +61,20 @@
              ChangesCallback callback) override;
 
  private:
+  // A call that waits for its answer.
+  struct WaitingWatch {
+    std::string prefix;
+    uint64_t revision = 0;
+    base::Instant deadline;  // Of the answer without changes.
+    uint64_t call_number = 0;
+    ChangesCallback callback;
+  };
+
   bool IsDown() const;
-  // Calls `callback` if there are changes or `deadline` has passed, and polls
-  // again if not.
-  void Poll(const std::string& prefix,
-            uint64_t revision,
-            base::Instant deadline,
-            ChangesCallback callback);
+  bool IsSilenced(uint64_t call_number) const;
+  // Answers the watch if there are changes or its deadline has passed, and
+  // polls again if not.
+  void Poll(WaitingWatch watch);
 
   FakeEntryStoreState& state_;
   const std::string self_;
