LibPlatform: Bound the age of what a watch knows

Callers were handled by an older configuration for up to a second beyond the bound: refused with 404 on new routes, or sent to old services.

Cause: a watch waits for 4 s and is given up a second later. If its connection goes silent, the node learns nothing for 5 s; a watch that begins while the store is silent outlasts the outage by as much. All nodes restart their watches at the same change, so all are deaf together. Evidence: 204 with tookMs 5000 on all four nodes, the second time begun 0.1 s before the store was back, and the revision in force right after it.

A watch now waits 1 to 1.5 s, and a node whose last read failed asks without waiting, so that a silent connection costs 2.5 s and one from an outage 1 s. The times are random, so that the watches of different nodes end at different times.

--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -158,7 +158,7 @@
   if (IsListingDue(is_watcher))
     List("");
   else if (is_watcher)
-    Watch();
+    Watch(RandomWatchWait());
   else
     scheduler_.After(rules_.role_check_period,
                      [self = shared_from_this()] { self->ScheduleNextRead(); });
@@ -181,14 +181,20 @@
   return age.value_or(uptime) >= list_period_;
 }
 
-void PrefixFollower::Watch() {
+base::Duration PrefixFollower::RandomWatchWait() {
+  const base::Duration range = rules_.max_watch_wait - rules_.min_watch_wait;
+  return rules_.min_watch_wait +
+         std::chrono::duration_cast<base::Duration>(range * random_.Fraction());
+}
+
+void PrefixFollower::Watch(base::Duration wait) {
   uint64_t revision = 0;
   {
     const std::lock_guard lock(mutex_);
     revision = watch_revision_;
   }
   const ReadCall call{kWatchName, scheduler_.Now()};
-  store_.Watch(prefix_, revision, rules_.watch_wait,
+  store_.Watch(prefix_, revision, wait,
                [self = shared_from_this(), call](auto changes) {
                  self->OnChanges(call, std::move(changes));
                });
@@ -197,7 +203,10 @@
 void PrefixFollower::OnChanges(const ReadCall& call,
                                base::Result<StoreChanges> changes) {
   if (!changes) {
-    OnFailure(call, changes.error(), [this] { Watch(); });
+    // NOTE: A watch that begins while the store is silent outlasts the outage.
+    // One that does not wait ends soon after it.
+    OnFailure(call, changes.error(),
+              [this] { Watch(base::Duration::zero()); });
     return;
   }
   SetHealth(StoreHealth::kAvailable, "");
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -23,9 +23,11 @@
 namespace platform {
 
 struct PrefixFollowerRules {
-  // How long one watch waits for a change. A connection that has died unnoticed
-  // is detected after this time.
-  base::Duration watch_wait = std::chrono::seconds(4);
+  // How long one watch waits for a change: a random time from this range, so
+  // that the watches of different nodes end at different times. A connection
+  // that has gone silent is noticed kStoreCallTimeout after this time.
+  base::Duration min_watch_wait = std::chrono::milliseconds(1000);
+  base::Duration max_watch_wait = std::chrono::milliseconds(1500);
   // The delay after changes, so that one call fetches a series of them.
   base::Duration change_batch_delay = std::chrono::milliseconds(300);
   // How the entries are listed when the node starts, so that it knows them at
@@ -110,7 +112,8 @@
               base::Result<StorePage> page);
   void FinishListing();
   void ScheduleNextRead();
-  void Watch();
+  void Watch(base::Duration wait);
+  base::Duration RandomWatchWait();
   void OnChanges(const ReadCall& call, base::Result<StoreChanges> changes);
   void Apply(StoreEvent event, ReadMode mode);
   void OnFailure(const ReadCall& call,
