LibUpstream: Never end a call from within Start

Cause: HttpTransport ends a call at once if its deadline passes before it is sent, although the interface promises not to do so within Start. The callback is LeafExecution::OnOutcome, which locks the mutex that the caller of Start holds, so that the thread stops for good. A request that was given to a node that has lost its power ends at its deadline, which is when such attempts begin. If the thread is the peers', the node gets no facts and answers callers from an old configuration; if it is the callers', the node answers nothing.

Calls that can't be sent now end in a posted task. The other interfaces whose callers hold a lock (LeafClient, CreditClient, Scheduler, PeerClient) post already: PeerDispatcher, Network and AsioScheduler. EntryStore, ContentSource, BookingExecutor and BookingForwarder are called without a lock. No further lock is held while a callback of another class runs, but for ConfigurationController::install_mutex_, which its listeners don't take.

--- a/Libraries/LibUpstream/connection_pool.cc
+++ b/Libraries/LibUpstream/connection_pool.cc
@@ -24,6 +24,10 @@
   return std::shared_ptr<ConnectionPool>(new ConnectionPool(io));
 }
 
+void ConnectionPool::Post(std::function<void()> task) {
+  boost::asio::post(io_, std::move(task));
+}
+
 ConnectionPool::ConnectionPtr ConnectionPool::TakeIdle(Pool& pool,
                                                        base::Instant now) {
   while (!pool.idle.empty()) {
@@ -126,10 +130,9 @@
   // NOTE: The callback is posted, because it may take locks that the caller of
   // Release holds.
   if (waiter_callback)
-    boost::asio::post(
-        io_, [waiter_callback = std::move(waiter_callback), waiter_connection] {
-          waiter_callback(waiter_connection);
-        });
+    Post([waiter_callback = std::move(waiter_callback), waiter_connection] {
+      waiter_callback(waiter_connection);
+    });
 }
 
 void ConnectionPool::CancelWait(const std::string& address, WaitId wait_id) {
@@ -145,8 +148,7 @@
     dropped = std::exchange(pools[address].waiting, {});
   });
   for (Waiter& waiter : dropped)
-    boost::asio::post(
-        io_, [callback = std::move(waiter.callback)] { callback(nullptr); });
+    Post([callback = std::move(waiter.callback)] { callback(nullptr); });
 }
 
 void ConnectionPool::CloseIdleUnless(
--- a/Libraries/LibUpstream/connection_pool.h
+++ b/Libraries/LibUpstream/connection_pool.h
@@ -30,6 +30,9 @@
 
   static std::shared_ptr<ConnectionPool> Create(boost::asio::io_context& io);
 
+  // Runs `task` on a thread of the io_context, never from within this call.
+  void Post(std::function<void()> task);
+
   // Either `connection` is set, or the caller waits under `wait_id`.
   struct Acquisition {
     ConnectionPtr connection;
--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -146,12 +146,15 @@
   if (!can_send) {
     if (connection)
       state->pool->Release(call->target.address, connection);
-    state->Finish(call, tl::make_unexpected(http::ExchangeError{
-                            base::Error(connection ? ErrorKind::kTimeout
-                                                   : ErrorKind::kUnavailable,
-                                        "the call was not sent to the server",
-                                        "try another server"),
-                            http::SentState::kNothingSent}));
+    http::ExchangeError error{
+        base::Error(connection ? ErrorKind::kTimeout : ErrorKind::kUnavailable,
+                    "the call was not sent to the server",
+                    "try another server"),
+        http::SentState::kNothingSent};
+    // NOTE: The caller of Start may hold a lock that its callback takes.
+    state->pool->Post([state, call, error = std::move(error)] {
+      state->Finish(call, tl::make_unexpected(error));
+    });
     return;
   }
   const bool was_connected = connection->is_connected();
--- a/Tests/LibUpstream/http_transport_test.cc
+++ b/Tests/LibUpstream/http_transport_test.cc
@@ -97,5 +97,29 @@
   CHECK(usage.front().open == 1);
 }
 
+// A caller may hold a lock that its callback takes.
+TEST_CASE("a call that begins at its deadline is not ended from within Start") {
+  for (const base::Duration timeout :
+       {base::Duration(-1), base::Duration(0), base::Duration(1)}) {
+    CAPTURE(timeout.count());
+    TransportFixture fixture;
+    bool is_starting = true;
+    int ended_while_starting = 0;
+    int ended = 0;
+    const auto on_end = [&](const auto&) {
+      ended_while_starting += is_starting ? 1 : 0;
+      ++ended;
+    };
+    fixture.transport.Start(fixture.target, {}, timeout, on_end);
+    fixture.transport.FetchReport(fixture.target, timeout, on_end);
+    is_starting = false;
+    const auto limit = std::chrono::steady_clock::now() + kConnectTime;
+    while (ended < 2 && std::chrono::steady_clock::now() < limit)
+      fixture.io.run_for(std::chrono::milliseconds(1));
+    CHECK(ended_while_starting == 0);
+    CHECK(ended == 2);
+  }
+}
+
 }  // namespace
 }  // namespace upstream
