LibPlatform: Don't take a silent watch for an outage of the store

Requests could reach a server until 4.5 s after its removal, as a node that learned of the removal late held it back for another 2 s.

Cause: a watch that timed out marked the store as silent. Removals are held back for 2 s after an outage, in which entries of running servers lapse. A connection that has gone silent is no outage, and nothing had lapsed.

A watch that waited and timed out is now followed at once by one that doesn't wait; only if that fails too, the store counts as silent.

--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -96,7 +96,7 @@
 }
 
 void PrefixFollower::List(const std::string& after_key) {
-  const ReadCall call{kListName, scheduler_.Now()};
+  const ReadCall call{kListName, scheduler_.Now(), {}};
   store_.List(prefix_, after_key, ReadMode::kLatest,
               [self = shared_from_this(), call, after_key](auto page) {
                 self->OnPage(call, after_key, std::move(page));
@@ -193,7 +193,7 @@
     const std::lock_guard lock(mutex_);
     revision = watch_revision_;
   }
-  const ReadCall call{kWatchName, scheduler_.Now()};
+  const ReadCall call{kWatchName, scheduler_.Now(), wait};
   store_.Watch(prefix_, revision, wait,
                [self = shared_from_this(), call](auto changes) {
                  self->OnChanges(call, std::move(changes));
@@ -205,8 +205,20 @@
   if (!changes) {
     // NOTE: A watch that begins while the store is silent outlasts the outage.
     // One that does not wait ends soon after it.
-    OnFailure(call, changes.error(),
-              [this] { Watch(base::Duration::zero()); });
+    const auto watch_without_wait = [self = shared_from_this()] {
+      self->Watch(base::Duration::zero());
+    };
+    // A watch that waited may have lost its connection only. The next call
+    // shows whether the store answers.
+    const bool is_connection_suspect =
+        changes.error().kind() == base::ErrorKind::kTimeout &&
+        call.wait > base::Duration::zero();
+    if (is_connection_suspect) {
+      LogFailure(call, changes.error());
+      watch_without_wait();
+    } else {
+      OnFailure(call, changes.error(), watch_without_wait);
+    }
     return;
   }
   SetHealth(StoreHealth::kAvailable, "");
@@ -253,6 +265,15 @@
     delay = next_retry_delay_;
     next_retry_delay_ = std::min(next_retry_delay_ * 2, rules_.max_retry_delay);
   }
+  LogFailure(call, error);
+  SetHealth(StoreHealth::kUnavailable, error.message());
+  scheduler_.After(
+      Jitter(delay, random_),
+      [self = shared_from_this(), retry = std::move(retry)] { retry(); });
+}
+
+void PrefixFollower::LogFailure(const ReadCall& call,
+                                const base::Error& error) {
   const std::optional<base::Duration> age = Age();
   base::Log(base::Event::kStoreReadFailed,
             {{"prefix", prefix_},
@@ -260,10 +281,6 @@
              {"tookMs", ToWholeMilliseconds(scheduler_.Now() - call.start)},
              {"ageMs", age ? ToWholeMilliseconds(*age) : ""},
              {"reason", error.message()}});
-  SetHealth(StoreHealth::kUnavailable, error.message());
-  scheduler_.After(
-      Jitter(delay, random_),
-      [self = shared_from_this(), retry = std::move(retry)] { retry(); });
 }
 
 void PrefixFollower::SetHealth(StoreHealth health, const std::string& reason) {
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -86,10 +86,11 @@
   std::optional<base::Duration> Age();
 
  private:
-  // A call to the store, for logs.
+  // A call to the store.
   struct ReadCall {
     std::string_view name;
     base::Instant start;
+    base::Duration wait;  // How long the store may wait before it answers.
   };
 
   PrefixFollower(std::string prefix,
@@ -119,6 +120,7 @@
   void OnFailure(const ReadCall& call,
                  const base::Error& error,
                  std::function<void()> retry);
+  void LogFailure(const ReadCall& call, const base::Error& error);
   void SetHealth(StoreHealth health, const std::string& reason);
 
   const std::string prefix_;
--- a/Tests/Fakes/fake_entry_store.cc
+++ b/Tests/Fakes/fake_entry_store.cc
@@ -17,6 +17,11 @@
                      "wait until it answers again");
 }
 
+base::Error TimeoutError() {
+  return base::Error(base::ErrorKind::kTimeout, "the store has not answered",
+                     "wait until it answers again");
+}
+
 }  // namespace
 
 void FakeEntryStoreState::Put(const std::string& key,
@@ -88,7 +93,7 @@
       scheduler_.After(
           watch.deadline + platform::kStoreCallTimeout - scheduler_.Now(),
           [callback = std::move(watch.callback)] {
-            callback(tl::make_unexpected(UnavailableError()));
+            callback(tl::make_unexpected(TimeoutError()));
           });
       return;
     }
