platform, LibUpstream, LibNode: Read and log the limits that servers name

A server in need names the requests a second that it takes from all nodes together. Nothing read the header, so the logs could not tell whether a limited server got the usual calls, more of them by hedges and retries, or its limit from each node.

The codec decodes the header once, from refusals too, into a ServerStatement; values that are there twice, negative, not finite or not a number are logged (406), counted and ignored, and so is what another server may have sent. Changes are logged with the calls that this node made meanwhile (405). Nothing obeys the limit yet.

--- a/Libraries/LibBase/log.h
+++ b/Libraries/LibBase/log.h
@@ -39,6 +39,8 @@
   kServerProtocolError = 402,
   kSnapshotChanged = 403,
   kClaimRejected = 404,
+  kServerLimitChanged = 405,
+  kServerStatementRejected = 406,
   kBookingUnknown = 500,
   kUsageWritten = 600,
   kUsageWriteFailed = 601,
--- a/Libraries/LibHttp/message.cc
+++ b/Libraries/LibHttp/message.cc
@@ -24,6 +24,13 @@
   return found == headers.end() ? std::string_view() : found->value;
 }
 
+size_t CountHeaders(const Headers& headers, std::string_view name) {
+  return static_cast<size_t>(
+      std::ranges::count_if(headers, [&](const Header& header) {
+        return EqualsIgnoringCase(header.name, name);
+      }));
+}
+
 std::string_view Path(std::string_view target) {
   return target.substr(0, target.find('?'));
 }
--- a/Libraries/LibHttp/message.h
+++ b/Libraries/LibHttp/message.h
@@ -72,6 +72,9 @@
 // an empty string if there is none. Percent-encoded characters aren't decoded.
 std::string QueryParameter(std::string_view target, std::string_view name);
 
+// Returns how many headers have this name, in any case.
+size_t CountHeaders(const Headers& headers, std::string_view name);
+
 // Returns `target` without its query part.
 std::string_view Path(std::string_view target);
 
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -170,7 +170,8 @@
              return MaxConnectionsPerServer(upstream);
            },
            settings_.self.availability_zone,
-           query::DelegationDependencies{peer_dispatcher_, leaf_nodes_}},
+           query::DelegationDependencies{peer_dispatcher_, leaf_nodes_},
+           &server_limiter_},
           MakeLeafRules(settings_)),
       filter_chain_(MakeFilters()) {}
 
@@ -202,6 +203,7 @@
   facts_.AddListener([this](const membership::Fact& fact) { OnFact(fact); });
   configuration_->AddListener(
       [this](const config::Manifest& manifest) { OnConfiguration(manifest); });
+  dependencies_.statements.SetStatementListener(*this);
   membership_->SetChangeListener([this] { RefreshView(); });
   RefreshView();
   membership_->Start();
@@ -479,6 +481,8 @@
                configuration_->Current()->revision) +
          age_gauge("configuration", *configuration_follower_) +
          age_gauge("registry", *registry_follower_) +
+         gauge("celerycroft_limited_servers",
+               server_limiter_.limited_server_count()) +
          gauge("celerycroft_running_requests", running_request_count_) +
          gauge("celerycroft_usable_nodes", UsableNodeCount()) +
          gauge("celerycroft_log_lines_dropped_total", base::DroppedLogLines());
@@ -542,6 +546,19 @@
   });
 }
 
+void ForwardCore::OnStatement(
+    const std::string& instance,
+    base::Instant asked,
+    const base::Result<upstream::ServerStatement>& statement) {
+  const base::Instant now = dependencies_.scheduler.Now();
+  if (statement) {
+    server_limiter_.OnStatement(instance, asked, *statement, now);
+    return;
+  }
+  metrics_.Increment("celerycroft_server_statements_rejected_total", "");
+  server_limiter_.OnInvalidStatement(instance, statement.error(), now);
+}
+
 membership::GossipMessage ForwardCore::Gossip(
     const membership::GossipMessage& message) {
   return membership_->OnGossip(message);
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -31,7 +31,9 @@
 #include "LibRouting/cluster_view.h"
 #include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/load_aware_hedge_policy.h"
+#include "LibUpstream/server_limiter.h"
 #include "LibUpstream/server_registry.h"
+#include "LibUpstream/server_statement.h"
 #include "LibUpstream/server_table.h"
 #include "LibUpstream/transport.h"
 
@@ -73,11 +75,13 @@
   upstream::Transport& transport;
   platform::EntryStore& store;
   peer::PeerClient& peer_client;
+  upstream::StatementSource& statements;
   // Called with each configuration that takes effect.
   std::function<void(const config::ConfigurationPtr&)> on_configuration_change;
 };
 
-class ForwardCore final : public peer::Handler {
+class ForwardCore final : public peer::Handler,
+                          public upstream::StatementListener {
  public:
   ForwardCore(ForwardSettings settings,
               StoreEntryReaders readers,
@@ -109,6 +113,12 @@
   // Returns the metrics in Prometheus text format.
   std::string MetricsText();
 
+  // upstream::StatementListener:
+  void OnStatement(
+      const std::string& instance,
+      base::Instant asked,
+      const base::Result<upstream::ServerStatement>& statement) override;
+
   // peer::Handler:
   void ExecuteLeaf(query::LeafRequest request,
                    std::function<void(query::LeafAnswer)> callback) override;
@@ -174,6 +184,7 @@
 
   upstream::ServerRegistry server_registry_;
   upstream::ServerTable servers_;
+  upstream::ServerLimiter server_limiter_;
   upstream::LoadAwareHedgePolicy hedge_policy_;
   upstream::WindowExtraLoadBudget extra_load_budget_;
   query::RouteUpstreamCache upstream_cache_;
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -251,6 +251,8 @@
   attempt_recorder_.OnAttemptBegin(progress.service->name, attempt, kind, view,
                                    candidates.servers.size());
   dependencies_->servers.OnCallStarted(attempt.server, Now());
+  if (dependencies_->call_limiter)
+    dependencies_->call_limiter->OnCall(chosen.instance, Now());
   const size_t work_index = static_cast<size_t>(&progress - services_.data());
   attempt.call = dependencies_->transport.Start(
       target, call, deadline_ - Now(),
--- a/Libraries/LibQuery/leaf_executor.h
+++ b/Libraries/LibQuery/leaf_executor.h
@@ -13,6 +13,7 @@
 #include "LibConfig/configuration.h"
 #include "LibQuery/delegation.h"
 #include "LibQuery/leaf_message.h"
+#include "LibUpstream/call_limiter.h"
 #include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/hedge_policy.h"
 #include "LibUpstream/replica_policy.h"
@@ -67,6 +68,8 @@
   std::string availability_zone = {};
   // Set if this node may delegate work to other nodes.
   std::optional<DelegationDependencies> delegation = std::nullopt;
+  // Limits of single servers; null if there are none.
+  upstream::CallLimiter* call_limiter = nullptr;
 };
 
 using UpstreamPtr = std::shared_ptr<const config::Upstream>;
--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -47,6 +47,7 @@
 struct HttpTransport::State {
   std::shared_ptr<ConnectionPool> pool;
   std::shared_ptr<const ShardCodec> codec;
+  StatementListener* statement_listener = nullptr;
   std::atomic<uint64_t> next_id{1};
   base::LockStriped<std::unordered_map<uint64_t, std::shared_ptr<Call>>> calls;
 
@@ -80,16 +81,27 @@
                         shard_call](base::Duration time_left) {
     return codec->Encode(target, shard_call, time_left);
   };
-  call->callback = [codec = state_->codec, shard_call,
+  call->callback = [codec = state_->codec, shard_call, target,
+                    asked = base::MonotonicClock::now(),
+                    listener = state_->statement_listener,
                     callback = std::move(callback)](auto result) {
-    if (result)
-      callback(codec->Decode(shard_call, *std::move(result)));
-    else
+    if (!result) {
       callback(tl::make_unexpected(ToFailure(result.error())));
+      return;
+    }
+    if (listener) {
+      if (const auto statement = codec->ReadStatement(shard_call, *result))
+        listener->OnStatement(target.instance, asked, *statement);
+    }
+    callback(codec->Decode(shard_call, *std::move(result)));
   };
   return StartCall(std::move(call));
 }
 
+void HttpTransport::SetStatementListener(StatementListener& listener) {
+  state_->statement_listener = &listener;
+}
+
 void HttpTransport::FetchReport(const ServerTarget& target,
                                 base::Duration timeout,
                                 ReportCallback callback) {
--- a/Libraries/LibUpstream/http_transport.h
+++ b/Libraries/LibUpstream/http_transport.h
@@ -17,7 +17,9 @@
 
 namespace upstream {
 
-class HttpTransport final : public Transport, public ReportSource {
+class HttpTransport final : public Transport,
+                            public ReportSource,
+                            public StatementSource {
  public:
   HttpTransport(std::shared_ptr<ConnectionPool> pool,
                 std::shared_ptr<const ShardCodec> codec);
@@ -35,6 +37,8 @@
                    base::Duration timeout,
                    ReportCallback callback) override;
 
+  void SetStatementListener(StatementListener& listener) override;
+
  private:
   struct Call;
   struct State;
--- a/Libraries/LibUpstream/shard_codec.h
+++ b/Libraries/LibUpstream/shard_codec.h
@@ -7,6 +7,7 @@
 #include <optional>
 
 #include "LibHttp/message.h"
+#include "LibUpstream/server_statement.h"
 #include "LibUpstream/transport.h"
 
 namespace upstream {
@@ -23,6 +24,15 @@
   // Returns the reply or the failure that a complete HTTP response stands for.
   virtual ShardOutcome Decode(const ShardCall& call,
                               http::Response response) const = 0;
+
+  // Returns what the server that was called says of itself. Returns nothing if
+  // another server may have sent the response, or if the protocol has no such
+  // statements.
+  virtual std::optional<base::Result<ServerStatement>> ReadStatement(
+      const ShardCall&,
+      const http::Response&) const {
+    return std::nullopt;
+  }
 };
 
 // Celerycroft's own server protocol, in JSON. The header Shard-Refusal marks
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -53,7 +53,10 @@
     });
     return id;
   }
-  scheduler_.After(script.service_time, [script, call, target, callback] {
+  scheduler_.After(script.service_time, [this, asked = scheduler_.Now(), script,
+                                         call, target, callback] {
+    if (listener_)
+      listener_->OnStatement(target.instance, asked, script.statement);
     if (script.failure) {
       callback(tl::make_unexpected(*script.failure));
       return;
@@ -125,7 +128,8 @@
           ParseClaimEvent},
       node::ForwardDependencies{process->scheduler, process->random,
                                 process->transport, process->store,
-                                process->peer_client, [](const auto&) {}});
+                                process->peer_client, process->transport,
+                                [](const auto&) {}});
   network_.Listen(PeerAddress(node),
                   {&process->scheduler, process->core.get()});
   process->core->Start();
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -24,6 +24,8 @@
   // If set, calls fail with this instead of being answered.
   std::optional<upstream::ShardFailure> failure = std::nullopt;
   bool never_answers = false;
+  // What it says of itself in its answers.
+  upstream::ServerStatement statement = {};
 };
 
 // The calls that reached servers, in order: the server's instance and the
@@ -31,7 +33,8 @@
 using CallLog = std::vector<std::pair<std::string, std::string>>;
 
 // The transport of one node; answers calls as the servers' scripts say.
-class ForwardTransport final : public upstream::Transport {
+class ForwardTransport final : public upstream::Transport,
+                               public upstream::StatementSource {
  public:
   ForwardTransport(std::map<std::string, ServerScript>& scripts,
                    CallLog& log,
@@ -47,6 +50,9 @@
                          upstream::ShardCallback callback) override;
   void Cancel(upstream::CallId call) override;
   void DropWaitingCalls(const std::string&) override {}
+  void SetStatementListener(upstream::StatementListener& listener) override {
+    listener_ = &listener;
+  }
 
   int cancelled() const { return cancelled_; }
   uint64_t started() const { return next_id_ - 1; }
@@ -57,6 +63,7 @@
   std::map<std::string, ServerScript>& scripts_;
   CallLog& log_;
   base::Scheduler& scheduler_;
+  upstream::StatementListener* listener_ = nullptr;
   uint64_t next_id_ = 1;
   int cancelled_ = 0;
   std::set<std::string> prepared_;
--- a/Tests/platform/codec_test.cc
+++ b/Tests/platform/codec_test.cc
@@ -150,5 +150,30 @@
   CHECK_FALSE(ReadConfiguration("[]"));
 }
 
+TEST_CASE(
+    "the limit that a server names is a finite number that is not negative") {
+  const ServerCodec codec;
+  const auto read = [&](int status, http::Headers headers) {
+    return codec.ReadStatement(MakeCall(),
+                               MakeResponse(status, std::move(headers)));
+  };
+  CHECK(read(200, {{"server-limit", "28.3"}})->value().max_request_rate ==
+        28.3);
+  CHECK(read(503, {{"Server-Limit", "5"}})->value().max_request_rate == 5);
+  CHECK(read(200, {{"Server-Limit", "0"}})->value().max_request_rate == 0);
+  CHECK_FALSE(read(200, {})->value().max_request_rate);
+  for (const char* invalid :
+       {"", "-1", "nan", "inf", "1e999", "5 a second", " 5", "0x10"}) {
+    CAPTURE(invalid);
+    CHECK_FALSE(read(200, {{"Server-Limit", invalid}})->has_value());
+  }
+  CHECK_FALSE(
+      read(200, {{"Server-Limit", "5"}, {"Server-Limit", "5"}})->has_value());
+  // Another server may have sent these.
+  CHECK_FALSE(read(421, {{"Server-Limit", "5"}}));
+  CHECK_FALSE(
+      read(200, {{"Server-Limit", "5"}, {"Celerycroft-Request-Id", "r0"}}));
+}
+
 }  // namespace
 }  // namespace platform
