LibUpstream, LibQuery, LibNode: Keep calls within the limits of servers

A server that had named a limit got up to twice what the rule allows: 164 to 350 calls in 4 s, where 136 to 242 were allowed.

Cause: nothing obeyed the limit.

All attempts now ask a CallLimiter before they are sent: first ones, hedges, retries, and work that was delegated. It splits a server's limit among the nodes in proportion to the calls that they want to make, which they tell each other by gossip, as powers of two with hysteresis. An even split would leave most of a limit unused: a server is called mostly by the nodes of its zone. A server without room is passed over for another one. If no server of a service has room, the part is left out at once, with the reason server_limit, and the caller is told when a share has room again.

All fast tests pass (26 of 26).

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -22,6 +22,9 @@
 // Prefixes of the keys of facts.
 constexpr std::string_view kClaimFactPrefix = "claim/";
 constexpr std::string_view kStoreHealthFactPrefix = "store/";
+// A server's instance, a slash and the id of the node that wants to call it
+// follow.
+constexpr std::string_view kDemandFactPrefix = "demand/";
 // Values of the facts on whether the store answers a node.
 constexpr std::string_view kStoreSilentValue = "silent";
 constexpr std::string_view kStoreAnswersValue = "answers";
@@ -220,6 +223,7 @@
   freshness_gate_.Tick();
   configuration_->RetryMissingContent();
   connection_warmer_.Run(configuration_->Current());
+  AnnounceDemand();
   dependencies_.scheduler.After(kHousekeepingPeriod,
                                 [this] { RunHousekeeping(); });
 }
@@ -291,6 +295,8 @@
       LogRejectedFact(fact, manifest.error());
   } else if (fact.key.starts_with(kStoreHealthFactPrefix)) {
     OnStoreHealthFact(fact);
+  } else if (fact.key.starts_with(kDemandFactPrefix)) {
+    OnDemandFact(fact);
   } else if (fact.key.starts_with(kClaimFactPrefix)) {
     const auto claim = upstream::ParseClaim(fact.value);
     if (claim)
@@ -346,6 +352,61 @@
     AnnounceStoreHealth();
 }
 
+void ForwardCore::AnnounceDemand() {
+  const auto view = views_.Current();
+  const auto is_usable_node = [&](const std::string& node) {
+    const membership::Member* member = view->FindMember(node);
+    return member && member->is_usable();
+  };
+  const auto announcements =
+      server_limiter_.Tick(dependencies_.scheduler.Now(), is_usable_node);
+  std::ranges::for_each(announcements, [this](const auto& announcement) {
+    AnnounceDemand(announcement);
+  });
+}
+
+void ForwardCore::AnnounceDemand(
+    const upstream::DemandAnnouncement& announcement) {
+  membership::Fact fact;
+  {
+    const std::lock_guard lock(demand_mutex_);
+    own_demand_version_ = {
+        std::max(own_demand_version_.epoch, settings_.self.incarnation),
+        own_demand_version_.counter + 1};
+    fact.version = own_demand_version_;
+  }
+  fact.key = std::string(kDemandFactPrefix) + announcement.instance + "/" +
+             settings_.self.node_id;
+  fact.value = upstream::SerializeDemandLevel(announcement.level);
+  facts_.AddIfNewer(fact);
+}
+
+void ForwardCore::OnDemandFact(const membership::Fact& fact) {
+  const std::string_view name =
+      std::string_view(fact.key).substr(kDemandFactPrefix.size());
+  const auto level = upstream::ParseDemandLevel(fact.value);
+  const size_t slash = std::min(name.rfind('/'), name.size());
+  if (!level) {
+    LogRejectedFact(fact, level.error());
+    return;
+  }
+  const std::string instance(name.substr(0, slash));
+  const std::string node(name.substr(std::min(slash + 1, name.size())));
+  if (node != settings_.self.node_id) {
+    server_limiter_.OnPeerDemand(instance, node, *level);
+    return;
+  }
+  {
+    const std::lock_guard lock(demand_mutex_);
+    own_demand_version_ = std::max(own_demand_version_, fact.version);
+  }
+  // NOTE: The fact may be of this node's previous process.
+  const upstream::DemandLevel announced =
+      server_limiter_.AnnouncedLevel(instance);
+  if (*level != announced)
+    AnnounceDemand({instance, announced});
+}
+
 bool ForwardCore::IsZoneWatcher(const std::string& task) {
   std::set<std::string> without_store;
   {
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -148,6 +148,11 @@
   void OnStoreHealth(platform::StoreHealth health);
   void AnnounceStoreHealth();
   void OnStoreHealthFact(const membership::Fact& fact);
+  // Tells the peers how many calls this node wants to make to the servers that
+  // name a limit, where that has changed.
+  void AnnounceDemand();
+  void AnnounceDemand(const upstream::DemandAnnouncement& announcement);
+  void OnDemandFact(const membership::Fact& fact);
   // Returns whether some usable node gets no answers from the store, or got
   // none until less than kRemovalDelay ago.
   bool IsStoreSilentOrRecovering();
@@ -204,6 +209,11 @@
   // The highest version of the facts on whether the store answers this node.
   membership::FactVersion own_health_version_;
 
+  std::mutex demand_mutex_;
+  // The highest version of the facts on this node's demand for calls. Guarded
+  // by `demand_mutex_`.
+  membership::FactVersion own_demand_version_;
+
   // When the current configuration took effect.
   std::atomic<base::Instant> configuration_in_force_since_{};
   std::atomic<size_t> running_request_count_{0};
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -17,7 +17,7 @@
 }
 
 MissingReason ToMissingReason(uint8_t number) {
-  return number <= static_cast<uint8_t>(MissingReason::kLeafUnreachable)
+  return number <= static_cast<uint8_t>(MissingReason::kServerLimit)
              ? static_cast<MissingReason>(number)
              : MissingReason::kTimeout;
 }
--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -174,7 +174,7 @@
   ForwardAnswer failed = ForwardAnswer::Failed(
       is_unknown ? ForwardOutcome::kUnknown : ForwardOutcome::kNotRun,
       MakeMissingError(answer));
-  failed.retry_after = kRetryAfter;
+  failed.retry_after = std::max(kRetryAfter, answer.retry_after);
   return failed;
 }
 
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -212,7 +212,7 @@
   dependencies_->budget.OnPrimary(progress.budget_account,
                                   request_.extra_load_share);
   if (!StartAttempt(progress, AttemptKind::kPrimary))
-    Abandon(progress, MissingReason::kNoServer);
+    Abandon(progress, progress.last_failure);
 }
 
 bool LeafExecution::MayStartAttempt(const ServiceProgress& progress) const {
@@ -221,17 +221,39 @@
   return progress.sent() < limit && Now() < deadline_;
 }
 
+std::optional<size_t> LeafExecution::ChooseCallable(ServiceProgress& progress,
+                                                    Candidates& candidates) {
+  upstream::CallLimiter* limiter = dependencies_->call_limiter;
+  auto wait = base::Duration::max();
+  while (!candidates.servers.empty()) {
+    const size_t choice = ChooseReplica(*dependencies_, rules_,
+                                        upstream_->slots, candidates.views);
+    const std::string& instance = candidates.servers[choice]->instance;
+    if (!limiter || limiter->TryCall(instance, Now()))
+      return choice;
+    wait = std::min(wait, limiter->WaitFor(instance, Now()));
+    const auto index = static_cast<ptrdiff_t>(choice);
+    candidates.servers.erase(candidates.servers.begin() + index);
+    candidates.views.erase(candidates.views.begin() + index);
+  }
+  progress.last_failure = MissingReason::kServerLimit;
+  answer_.retry_after = std::max(answer_.retry_after, wait);
+  return std::nullopt;
+}
+
 bool LeafExecution::StartAttempt(ServiceProgress& progress, AttemptKind kind) {
   if (!MayStartAttempt(progress))
     return false;
-  const Candidates candidates = FindCandidates(*dependencies_, progress);
+  Candidates candidates = FindCandidates(*dependencies_, progress);
   if (candidates.servers.empty())
     return false;
   if (kind == AttemptKind::kHedge &&
       !dependencies_->budget.TrySpend(progress.budget_account))
     return false;
-  const size_t choice =
-      ChooseReplica(*dependencies_, rules_, upstream_->slots, candidates.views);
+  const auto found = ChooseCallable(progress, candidates);
+  if (!found)
+    return false;
+  const size_t choice = *found;
   const config::Server& chosen = *candidates.servers[choice];
   const ServerView& view = candidates.views[choice];
   answer_.load.Add(kind);
@@ -251,8 +273,6 @@
   attempt_recorder_.OnAttemptBegin(progress.service->name, attempt, kind, view,
                                    candidates.servers.size());
   dependencies_->servers.OnCallStarted(attempt.server, Now());
-  if (dependencies_->call_limiter)
-    dependencies_->call_limiter->OnCall(chosen.instance, Now());
   const size_t work_index = static_cast<size_t>(&progress - services_.data());
   attempt.call = dependencies_->transport.Start(
       target, call, deadline_ - Now(),
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -63,6 +63,10 @@
   void ArmHedgeCheckTimer();
   void StartPrimary(ServiceProgress& progress);
   bool MayStartAttempt(const ServiceProgress& progress) const;
+  // Returns the index of the best candidate that takes another call now, and
+  // removes the better ones that don't. Returns nothing if none does.
+  std::optional<size_t> ChooseCallable(ServiceProgress& progress,
+                                       Candidates& candidates);
   // Sends the service's shards to a server that was not tried yet. Returns
   // whether it did. Takes a hedge from the budget; the caller takes a retry
   // from it.
--- a/Libraries/LibQuery/leaf_message.cc
+++ b/Libraries/LibQuery/leaf_message.cc
@@ -22,6 +22,8 @@
       return "no_connection";
     case MissingReason::kLeafUnreachable:
       return "leaf_unreachable";
+    case MissingReason::kServerLimit:
+      return "server_limit";
   }
   return "timeout";
 }
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -23,6 +23,7 @@
   kVersionGone,
   kNoConnection,
   kLeafUnreachable,
+  kServerLimit,  // All servers would get more calls than they take.
 };
 
 std::string_view MissingReasonName(MissingReason reason);
@@ -156,6 +157,9 @@
   upstream::ForwardedReplyPtr failed_reply = nullptr;
   RunState run_state = RunState::kNotRun;
   std::vector<AttemptRecord> attempts = {};
+  // When servers that were held back may be called again. Not passed on to
+  // other nodes.
+  base::Duration retry_after{};
 
   bool operator==(const LeafAnswer&) const = default;
 };
--- a/Libraries/LibUpstream/call_limiter.h
+++ b/Libraries/LibUpstream/call_limiter.h
@@ -14,8 +14,14 @@
  public:
   virtual ~CallLimiter() = default;
 
-  // Counts a call that is sent to the server.
-  virtual void OnCall(const std::string& instance, base::Instant now) = 0;
+  // Records that this node wants to call the server, and returns whether it
+  // may. The caller sends the call if it may.
+  virtual bool TryCall(const std::string& instance, base::Instant now) = 0;
+
+  // Returns how long this node has to wait until it may call the server. Zero
+  // if it may call it now.
+  virtual base::Duration WaitFor(const std::string& instance,
+                                 base::Instant now) = 0;
 };
 
 }  // namespace upstream
--- /dev/null
+++ b/Tests/LibNode/server_limit_test.cc
@@ -0,0 +1,155 @@
+// Tests that the calls of all nodes together stay within the limits that
+// servers name.
+
+#include <doctest/doctest.h>
+
+#include <algorithm>
+#include <vector>
+
+#include "Fakes/forward_tier.h"
+#include "LibBase/log.h"
+
+namespace node {
+namespace {
+
+using fakes::ForwardTier;
+using query::ForwardOutcome;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr int kServiceCount = 2;
+constexpr double kLimit = 12;  // Calls a second.
+// The platform's rule: so long after a server first named its limit, it gets in
+// any such window no more than `kMaxExcess` times the limit, and the slack.
+constexpr base::Duration kStableTime = seconds(4);
+constexpr base::Duration kWindow = seconds(4);
+constexpr double kMaxExcess = 1.5;
+constexpr double kSlack = 5;
+constexpr double kAllowed = kMaxExcess * kLimit * 4 + kSlack;
+// Each request waits for its answer, so that this is the gap between requests.
+constexpr base::Duration kGap = milliseconds(15);
+
+std::unique_ptr<ForwardTier> MakeTier(int nodes) {
+  base::DisableLog();
+  auto tier = std::make_unique<ForwardTier>(nodes);
+  tier->PutConfiguration(3, kServiceCount);
+  for (int service = 0; service < kServiceCount; ++service) {
+    for (const char* server : {"x", "y", "z"}) {
+      const std::string name = "s" + std::to_string(service);
+      tier->PutServer(server + name, name);
+    }
+  }
+  tier->RunFor(seconds(12));
+  return tier;
+}
+
+// Sends requests to the nodes for some time and counts the calls of servers.
+class CallCounter {
+ public:
+  explicit CallCounter(ForwardTier& tier) : tier_(tier) {}
+
+  // `next_node` returns the node that gets a request.
+  void Run(base::Duration duration,
+           const std::string& target,
+           const std::function<int()>& next_node) {
+    for (const base::Duration end = now_ + duration; now_ < end; now_ += kGap) {
+      ++sent;
+      tier_.log().clear();
+      const auto answer = tier_.SendAndWait(next_node(), target, kGap);
+      if (answer)
+        ++outcomes[answer->outcome];
+      for (const auto& [server, request] : tier_.log())
+        calls[server].push_back(now_);
+    }
+  }
+
+  // Returns the most calls of the server in a window that begins at `start` or
+  // later.
+  size_t MostInWindow(const std::string& server, base::Duration start) {
+    const auto& times = calls[server];
+    size_t most = 0;
+    for (auto first = times.begin(); first != times.end(); ++first) {
+      if (*first < start)
+        continue;
+      const auto last = std::upper_bound(first, times.end(), *first + kWindow);
+      most = std::max(most, static_cast<size_t>(last - first));
+    }
+    return most;
+  }
+
+  std::map<std::string, std::vector<base::Duration>> calls;
+  std::map<ForwardOutcome, int> outcomes;
+  int sent = 0;
+
+ private:
+  ForwardTier& tier_;
+  base::Duration now_{};
+};
+
+std::function<int()> InTurn(int nodes) {
+  return [nodes, next = 0]() mutable { return next++ % nodes; };
+}
+
+TEST_CASE("servers that name a limit get no more than it from all nodes") {
+  for (const int nodes : {4, 24}) {
+    CAPTURE(nodes);
+    const auto tier = MakeTier(nodes);
+    for (const char* server : {"xs0", "ys0"})
+      tier->scripts()[server].statement.max_request_rate = kLimit;
+    CallCounter counter(*tier);
+    counter.Run(seconds(16), "/one/x", InTurn(nodes));
+    for (const char* server : {"xs0", "ys0"})
+      CHECK(counter.MostInWindow(server, kStableTime) <= kAllowed);
+    // The third server takes the rest.
+    CHECK(counter.outcomes[ForwardOutcome::kRelayed] == counter.sent);
+  }
+}
+
+TEST_CASE("a limit is used by the nodes whose callers need it") {
+  const auto tier = MakeTier(4);
+  for (const char* server : {"xs0", "ys0", "zs0"})
+    tier->scripts()[server].statement.max_request_rate = kLimit;
+  CallCounter counter(*tier);
+  counter.Run(seconds(16), "/one/x", [] { return 0; });
+  for (const char* server : {"xs0", "ys0", "zs0"}) {
+    CHECK(counter.MostInWindow(server, kStableTime) <= kAllowed);
+    CHECK(counter.calls[server].size() >= 0.75 * kLimit * 16);
+  }
+  // The others are refused at once, and told when to come back.
+  CHECK(counter.outcomes[ForwardOutcome::kNotRun] > 0);
+  CHECK(counter.outcomes[ForwardOutcome::kRelayed] +
+            counter.outcomes[ForwardOutcome::kNotRun] ==
+        counter.sent);
+}
+
+TEST_CASE("a server is used as before once it names no limit any more") {
+  const auto tier = MakeTier(4);
+  for (const char* server : {"xs0", "ys0", "zs0"})
+    tier->scripts()[server].statement.max_request_rate = kLimit;
+  CallCounter limited(*tier);
+  limited.Run(seconds(8), "/one/x", InTurn(4));
+  for (const char* server : {"xs0", "ys0", "zs0"})
+    tier->scripts()[server].statement = {};
+  tier->RunFor(seconds(1));
+  CallCounter unlimited(*tier);
+  unlimited.Run(seconds(4), "/one/x", InTurn(4));
+  CHECK(unlimited.outcomes[ForwardOutcome::kNotRun] <= 8);
+}
+
+TEST_CASE("the limit holds while nodes restart") {
+  constexpr int kNodes = 4;
+  const auto tier = MakeTier(kNodes);
+  for (const char* server : {"xs0", "ys0"})
+    tier->scripts()[server].statement.max_request_rate = kLimit;
+  CallCounter counter(*tier);
+  counter.Run(kStableTime, "/all/x", InTurn(kNodes));
+  for (int node = 0; node < kNodes; ++node) {
+    tier->Restart(node);
+    counter.Run(seconds(2), "/all/x", InTurn(kNodes));
+  }
+  for (const char* server : {"xs0", "ys0"})
+    CHECK(counter.MostInWindow(server, kStableTime) <= kAllowed);
+}
+
+}  // namespace
+}  // namespace node
