LibUpstream: Let a share make up for calls that came late

A node with one server and 10 calls a second of its limit made 9.1: its bucket held one call, and what it earned while the next request was on its way was lost. It now also holds the share's calls of 0.1 s. Over n nodes that adds n calls and a tenth of the limit to a window.

server_limiter_test covers the split by itself: one node, equal demand, a node that is gone, changes, old answers, limits of 0 and 1e308, invalid levels.

--- a/Libraries/LibUpstream/server_limiter.cc
+++ b/Libraries/LibUpstream/server_limiter.cc
@@ -85,7 +85,7 @@
 void ServerLimiter::Refill(Entry& entry, base::Instant now) {
   const double share = ShareOf(entry);
   entry.tokens =
-      std::min(std::max(1.0, share * kBurstSeconds),
+      std::min(1 + share * kBurstSeconds,
                entry.tokens + share * base::ToSeconds(now - entry.refilled_at));
   entry.refilled_at = now;
 }
