Tests, LibNode, LibUpstream: Satisfy the linter

Local constants are named as in the rest of the code, a structured binding is captured by name, and the key of a demand fact is split without casts.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -382,16 +382,16 @@
 }
 
 void ForwardCore::OnDemandFact(const membership::Fact& fact) {
-  const std::string_view name =
-      std::string_view(fact.key).substr(kDemandFactPrefix.size());
   const auto level = upstream::ParseDemandLevel(fact.value);
-  const size_t slash = std::min(name.rfind('/'), name.size());
   if (!level) {
     LogRejectedFact(fact, level.error());
     return;
   }
-  const std::string instance(name.substr(0, slash));
-  const std::string node(name.substr(std::min(slash + 1, name.size())));
+  const std::string name = fact.key.substr(kDemandFactPrefix.size());
+  // NOTE: A key without a slash names no node, and so none that is usable.
+  const size_t slash = name.rfind('/');
+  const std::string instance = name.substr(0, slash);
+  const std::string node = name.substr(slash + 1);
   if (node != settings_.self.node_id) {
     server_limiter_.OnPeerDemand(instance, node, *level);
     return;
--- a/Libraries/LibUpstream/server_limiter.cc
+++ b/Libraries/LibUpstream/server_limiter.cc
@@ -191,8 +191,8 @@
     double weight = 0;
     for (const auto& [node, level] : levels)
       weight += is_usable_node(node) ? WeightOf(level) : 0;
-    entries_.With(instance, [&](Entries& entries) {
-      entries[instance].peer_weight = weight;
+    entries_.With(instance, [weight, &key = instance](Entries& entries) {
+      entries[key].peer_weight = weight;
     });
   }
   return announcements;
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -377,21 +377,24 @@
   CHECK_FALSE(WasCalled(tier->log(), "xs0"));
 }
 
+// Bounds of the platform's rules: a server that was removed gets no request
+// this long after its removal, from nodes that were undisturbed for the stable
+// time.
+constexpr base::Duration kRemovalBound = seconds(3);
+constexpr base::Duration kStableTime = seconds(4);
+// The delay between the disturbance and the removal.
+constexpr base::Duration kRemovalDelay = milliseconds(100);
+static_assert(kRemovalDelay + kRemovalBound < kStableTime);
+
 TEST_CASE("a removal is not held back because a connection went silent") {
-  // Bounds of the platform's rules: a server that was removed gets no request
-  // this long after its removal, from nodes that were undisturbed for 4 s.
-  constexpr base::Duration kRemovalBound = seconds(3);
-  constexpr base::Duration kStableTime = seconds(4);
-  constexpr base::Duration kDelay = milliseconds(100);
-  static_assert(kDelay + kRemovalBound < kStableTime);
   for (base::Duration phase{}; phase < seconds(5); phase += milliseconds(250)) {
     CAPTURE(phase.count());
     const auto tier = MakeTier();
     tier->RunFor(phase);
     tier->store().SilenceOpenConnections();
-    tier->RunFor(kDelay);
+    tier->RunFor(kRemovalDelay);
     tier->RemoveServer("xs0");
-    tier->RunFor(kStableTime - kDelay);
+    tier->RunFor(kStableTime - kRemovalDelay);
     tier->log().clear();
     for (int i = 0; i < 20; ++i)
       tier->SendAndWait(i % kNodeCount, "/one/x", milliseconds(20));
--- a/Tests/LibNode/server_limit_test.cc
+++ b/Tests/LibNode/server_limit_test.cc
@@ -17,6 +17,8 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
+constexpr int kNodeCount = 4;
+constexpr int kManyNodes = 24;
 constexpr int kServiceCount = 2;
 constexpr double kLimit = 12;  // Calls a second.
 // The platform's rule: so long after a server first named its limit, it gets in
@@ -91,7 +93,7 @@
 }
 
 TEST_CASE("servers that name a limit get no more than it from all nodes") {
-  for (const int nodes : {4, 24}) {
+  for (const int nodes : {kNodeCount, kManyNodes}) {
     CAPTURE(nodes);
     const auto tier = MakeTier(nodes);
     for (const char* server : {"xs0", "ys0"})
@@ -106,7 +108,7 @@
 }
 
 TEST_CASE("a limit is used by the nodes whose callers need it") {
-  const auto tier = MakeTier(4);
+  const auto tier = MakeTier(kNodeCount);
   for (const char* server : {"xs0", "ys0", "zs0"})
     tier->scripts()[server].statement.max_request_rate = kLimit;
   CallCounter counter(*tier);
@@ -123,29 +125,28 @@
 }
 
 TEST_CASE("a server is used as before once it names no limit any more") {
-  const auto tier = MakeTier(4);
+  const auto tier = MakeTier(kNodeCount);
   for (const char* server : {"xs0", "ys0", "zs0"})
     tier->scripts()[server].statement.max_request_rate = kLimit;
   CallCounter limited(*tier);
-  limited.Run(seconds(8), "/one/x", InTurn(4));
+  limited.Run(seconds(8), "/one/x", InTurn(kNodeCount));
   for (const char* server : {"xs0", "ys0", "zs0"})
     tier->scripts()[server].statement = {};
   tier->RunFor(seconds(1));
   CallCounter unlimited(*tier);
-  unlimited.Run(seconds(4), "/one/x", InTurn(4));
+  unlimited.Run(seconds(4), "/one/x", InTurn(kNodeCount));
   CHECK(unlimited.outcomes[ForwardOutcome::kNotRun] <= 8);
 }
 
 TEST_CASE("the limit holds while nodes restart") {
-  constexpr int kNodes = 4;
-  const auto tier = MakeTier(kNodes);
+  const auto tier = MakeTier(kNodeCount);
   for (const char* server : {"xs0", "ys0"})
     tier->scripts()[server].statement.max_request_rate = kLimit;
   CallCounter counter(*tier);
-  counter.Run(kStableTime, "/all/x", InTurn(kNodes));
-  for (int node = 0; node < kNodes; ++node) {
+  counter.Run(kStableTime, "/all/x", InTurn(kNodeCount));
+  for (int node = 0; node < kNodeCount; ++node) {
     tier->Restart(node);
-    counter.Run(seconds(2), "/all/x", InTurn(kNodes));
+    counter.Run(seconds(2), "/all/x", InTurn(kNodeCount));
   }
   for (const char* server : {"xs0", "ys0"})
     CHECK(counter.MostInWindow(server, kStableTime) <= kAllowed);
--- a/Tests/LibNode/stale_configuration_test.cc
+++ b/Tests/LibNode/stale_configuration_test.cc
@@ -1,4 +1,5 @@
-// Tests that disturbances of the store don't keep an old configuration in force.
+// Tests that disturbances of the store don't keep an old configuration in
+// force.
 
 #include <doctest/doctest.h>
 
