LibQuery: Tell callers of a limit's Retry-After only if the limit refused them

A hedge that a server's limit held back set the answer's Retry-After, even if the request then failed for another reason. The wait is now kept with the service and counts if the service is left out because of limits.

server_limit_test checks what refused callers are told: at most the time of two calls of the limit.

--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -237,7 +237,7 @@
     candidates.views.erase(candidates.views.begin() + index);
   }
   progress.last_failure = MissingReason::kServerLimit;
-  answer_.retry_after = std::max(answer_.retry_after, wait);
+  progress.held_back_for = wait;
   return std::nullopt;
 }
 
@@ -517,6 +517,8 @@
     progress.run_state = RunState::kMayHaveRun;
   CancelAttempts(progress);
   progress.delegated = false;
+  if (reason == MissingReason::kServerLimit)
+    answer_.retry_after = std::max(answer_.retry_after, progress.held_back_for);
   for (const uint32_t shard : progress.work->shards)
     answer_.missing.push_back({shard, reason});
   MarkDone(progress);
--- a/Libraries/LibQuery/service_progress.h
+++ b/Libraries/LibQuery/service_progress.h
@@ -40,6 +40,8 @@
   // are hedged.
   std::optional<base::Instant> hedge_check_due;
   MissingReason last_failure = MissingReason::kNoServer;
+  // How long the servers that were held back last are not to be called.
+  base::Duration held_back_for{};
   RunState run_state = RunState::kNotRun;
   bool done = false;
 
--- a/Tests/LibNode/server_limit_test.cc
+++ b/Tests/LibNode/server_limit_test.cc
@@ -60,6 +60,8 @@
       const auto answer = tier_.SendAndWait(next_node(), target, kGap);
       if (answer)
         ++outcomes[answer->outcome];
+      if (answer && answer->outcome == ForwardOutcome::kNotRun)
+        longest_wait = std::max(longest_wait, answer->retry_after);
       for (const auto& [server, request] : tier_.log())
         calls[server].push_back(now_);
     }
@@ -82,6 +84,8 @@
   std::map<std::string, std::vector<base::Duration>> calls;
   std::map<ForwardOutcome, int> outcomes;
   int sent = 0;
+  // That a refused caller was told.
+  base::Duration longest_wait{};
 
  private:
   ForwardTier& tier_;
@@ -119,6 +123,8 @@
   }
   // The others are refused at once, and told when to come back.
   CHECK(counter.outcomes[ForwardOutcome::kNotRun] > 0);
+  CHECK(counter.longest_wait > base::Duration::zero());
+  CHECK(counter.longest_wait <= seconds(2) / kLimit);
   CHECK(counter.outcomes[ForwardOutcome::kRelayed] +
             counter.outcomes[ForwardOutcome::kNotRun] ==
         counter.sent);
