--- a/Libraries/LibUpstream/server_limiter.h
+++ b/Libraries/LibUpstream/server_limiter.h
@@ -89,7 +89,7 @@
     // may hear of a limit earlier than this node.
     std::map<std::string, int> peer_levels;
     double peer_weight = 0;  // Sum over the usable peers, of the last Tick.
-    // Token bucket of this node's share. Negative after the share fell.
+    // Token bucket of this node's share. Never negative.
     double tokens = 0;
     base::Instant refilled_at{};
     // Since the rate last changed.
