--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -5,11 +5,15 @@
 #include <sstream>
 #include <utility>
 
+#include "LibBase/log.h"
+
 namespace fakes {
 
 namespace {
 
 constexpr int kSeedCount = 3;
+constexpr uint64_t kSettledRevision = 3;
+constexpr base::Duration kSettlingTime = std::chrono::seconds(12);
 constexpr char kConfigurationPrefix[] = "configuration";
 constexpr char kServersPrefix[] = "servers/";
 constexpr base::Duration kRouteTimeout = std::chrono::milliseconds(400);
@@ -102,6 +106,20 @@
 
 ForwardTier::~ForwardTier() = default;
 
+std::unique_ptr<ForwardTier> ForwardTier::CreateSettled(int nodes,
+                                                        int services) {
+  base::DisableLog();
+  auto tier = std::make_unique<ForwardTier>(nodes);
+  tier->PutConfiguration(kSettledRevision, services);
+  for (int service = 0; service < services; ++service) {
+    const std::string name = "s" + std::to_string(service);
+    for (const char* server : {"x", "y", "z"})
+      tier->PutServer(server + name, name);
+  }
+  tier->RunFor(kSettlingTime);
+  return tier;
+}
+
 std::string ForwardTier::PeerAddress(int node) {
   return "10.0.0." + std::to_string(node + 1) + ":1";
 }
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -74,6 +74,11 @@
   explicit ForwardTier(int nodes);
   ~ForwardTier();
 
+  // Returns a tier in which all nodes have had time to learn the configuration
+  // of revision 3 and the servers: xNAME, yNAME and zNAME of each service NAME.
+  // Discards the log.
+  static std::unique_ptr<ForwardTier> CreateSettled(int nodes, int services);
+
   // Writes a configuration with this revision to the store. Its gather route
   // /all/ covers the services s0 to s(`services`-1), its route /one/ leads to
   // s0, and its route /split/ to s0 and s1 with weights of 3 to 1.
--- a/Tests/LibNode/forward_core_test.cc
+++ b/Tests/LibNode/forward_core_test.cc
@@ -25,21 +25,8 @@
 constexpr int kManyNodes = 24;
 constexpr base::Duration kRequestTime = milliseconds(500);
 
-// Returns a tier of `kNodeCount` nodes and `kServiceCount` services of 3
-// servers, in which all nodes have had time to learn the configuration and the
-// servers.
 std::unique_ptr<ForwardTier> MakeTier() {
-  base::DisableLog();
-  auto tier = std::make_unique<ForwardTier>(kNodeCount);
-  tier->PutConfiguration(3, kServiceCount);
-  for (int service = 0; service < kServiceCount; ++service) {
-    for (const char* server : {"x", "y", "z"}) {
-      const std::string name = "s" + std::to_string(service);
-      tier->PutServer(server + name, name);
-    }
-  }
-  tier->RunFor(seconds(12));
-  return tier;
+  return ForwardTier::CreateSettled(kNodeCount, kServiceCount);
 }
 
 bool WasCalled(const fakes::CallLog& log, const std::string& instance) {
--- a/Tests/LibNode/server_limit_test.cc
+++ b/Tests/LibNode/server_limit_test.cc
@@ -7,7 +7,6 @@
 #include <vector>
 
 #include "Fakes/forward_tier.h"
-#include "LibBase/log.h"
 
 namespace node {
 namespace {
@@ -32,17 +31,7 @@
 constexpr base::Duration kGap = milliseconds(15);
 
 std::unique_ptr<ForwardTier> MakeTier(int nodes) {
-  base::DisableLog();
-  auto tier = std::make_unique<ForwardTier>(nodes);
-  tier->PutConfiguration(3, kServiceCount);
-  for (int service = 0; service < kServiceCount; ++service) {
-    for (const char* server : {"x", "y", "z"}) {
-      const std::string name = "s" + std::to_string(service);
-      tier->PutServer(server + name, name);
-    }
-  }
-  tier->RunFor(seconds(12));
-  return tier;
+  return ForwardTier::CreateSettled(nodes, kServiceCount);
 }
 
 // Sends requests to the nodes for some time and counts the calls of servers.
--- a/Tests/LibNode/stale_configuration_test.cc
+++ b/Tests/LibNode/stale_configuration_test.cc
@@ -6,7 +6,6 @@
 #include <nlohmann/json.hpp>
 
 #include "Fakes/forward_tier.h"
-#include "LibBase/log.h"
 
 namespace node {
 namespace {
@@ -18,13 +17,8 @@
 constexpr int kNodeCount = 4;
 constexpr int kServiceCount = 4;
 
-// Returns a tier in which all nodes have had time to learn the configuration.
 std::unique_ptr<ForwardTier> MakeTier() {
-  base::DisableLog();
-  auto tier = std::make_unique<ForwardTier>(kNodeCount);
-  tier->PutConfiguration(3, kServiceCount);
-  tier->RunFor(seconds(12));
-  return tier;
+  return ForwardTier::CreateSettled(kNodeCount, kServiceCount);
 }
 
 // Bounds of the platform's rules: a configuration is in force this long after
