Tests: Check calls whose connection was closed for callbacks within Start

One path to the same lock was not under test: an exchange on a kept connection that the server has closed fails without waiting. Its callback is posted, as Asio's co_spawn promises for a coroutine that never suspends; the new case holds it to that.

--- a/Tests/LibUpstream/http_transport_test.cc
+++ b/Tests/LibUpstream/http_transport_test.cc
@@ -41,6 +41,10 @@
     Accept();
   }
   size_t connections() const { return sockets_.size(); }
+  void StopAndCloseConnections() {
+    acceptor_.close();
+    sockets_.clear();
+  }
 
  private:
   void Accept() {
@@ -121,5 +125,27 @@
   }
 }
 
+// Such a call ends without waiting for anything.
+TEST_CASE("a call whose connection was closed is not ended from within Start") {
+  TransportFixture fixture;
+  fixture.transport.Prepare(fixture.target);
+  fixture.RunUntilConnections(1);
+  fixture.io.run_for(std::chrono::milliseconds(10));  // The pool gets it back.
+  fixture.server.StopAndCloseConnections();
+  bool is_starting = true;
+  int ended_while_starting = 0;
+  int ended = 0;
+  fixture.transport.Start(fixture.target, {}, kTimeout, [&](const auto&) {
+    ended_while_starting += is_starting ? 1 : 0;
+    ++ended;
+  });
+  is_starting = false;
+  const auto limit = std::chrono::steady_clock::now() + kConnectTime;
+  while (ended == 0 && std::chrono::steady_clock::now() < limit)
+    fixture.io.run_for(std::chrono::milliseconds(1));
+  CHECK(ended_while_starting == 0);
+  CHECK(ended == 1);
+}
+
 }  // namespace
 }  // namespace upstream
