LibQuery: Take only requests that end before a stopping node is killed

Callers that used an open connection late in the grace period of a host got no answer to requests that the host had passed on, also to some that must not be sent again.

Cause: a drain ends once no request runs. Until then open connections are served, whatever the time that is left, so that requests on them keep the process going until it is killed. Nothing compared a request's time with the time left.

RequestDrain now takes a request only if it is expected to end 0.5 s before the kill: by its deadline, or by twice the longest duration of its route lately. It refuses the others at once as not run, with Retry-After 0, so that callers go to another host. What still runs at that time is ended and answered. Delegated work of peers is treated alike. It works since no request is left at the kill, whatever servers do.

The check of server_limit_test reads an optional value now; a missing one counts as zero, as before.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -10,6 +10,7 @@
 #include "LibBase/log.h"
 #include "LibBase/sampling.h"
 #include "LibNode/manifest_fact.h"
+#include "LibQuery/drain_filter.h"
 #include "LibQuery/forward_log.h"
 
 namespace node {
@@ -45,6 +46,8 @@
 // recovering once it answers again. According to the platform, running servers
 // rewrite their entries within about this time after an outage of the store.
 constexpr base::Duration kRemovalDelay = std::chrono::seconds(2);
+// Delegated work is timed apart from the requests of callers.
+constexpr std::string_view kDelegatedDrainPrefix = "delegated/";
 constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(100);
 // The minimum number of nodes that a server's connections are split among, so
 // that the nodes of an old view and those of a new one together stay within the
@@ -176,6 +179,7 @@
            query::DelegationDependencies{peer_dispatcher_, leaf_nodes_},
            &server_limiter_},
           MakeLeafRules(settings_)),
+      request_drain_(dependencies_.scheduler),
       filter_chain_(MakeFilters()) {}
 
 ForwardCore::~ForwardCore() = default;
@@ -192,6 +196,7 @@
   filters.push_back(std::make_unique<query::RouteFilter>());
   filters.push_back(
       std::make_unique<query::ForwardDeadlineFilter>(dependencies_.scheduler));
+  filters.push_back(std::make_unique<query::DrainFilter>(request_drain_));
   query::ForwardRules rules;
   rules.extra_load_share = settings_.extra_load_share;
   filters.push_back(std::make_unique<query::ForwardExecutionFilter>(
@@ -481,8 +486,9 @@
          server_registry_.generation() > 0;
 }
 
-void ForwardCore::AnnounceLeaving() {
+void ForwardCore::BeginDrain(base::Instant end) {
   leaving_ = true;
+  request_drain_.Begin(end);
   membership_->AnnounceLeaving();
 }
 
@@ -585,28 +591,47 @@
       callback(std::move(answer));
       --running_request_count_;
     };
-    const auto configuration = configuration_->Current();
-    const config::Route* route =
-        configuration->routes && configuration->revision == request.version
-            ? configuration->routes->FindByName(request.upstream)
-            : nullptr;
-    if (!request.forward || !route || !route->gather) {
-      respond(query::MakeAllMissingAnswer(request,
-                                          query::MissingReason::kVersionGone));
-      return;
-    }
-    const size_t top_records = request.forward->top_records;
-    leaf_executor_.Execute(
-        upstream_cache_.UpstreamFor(configuration, route->gather->services),
-        std::move(request),
-        [this, top_records, respond](query::LeafAnswer answer) {
-          query::LogDelegatedWork(answer, log_line_limiter_);
-          query::CompactParts(answer, top_records);
-          respond(std::move(answer));
-        });
+    ExecuteDelegated(std::move(request), deadline, respond);
   });
 }
 
+void ForwardCore::ExecuteDelegated(
+    query::LeafRequest request,
+    base::Instant deadline,
+    std::function<void(query::LeafAnswer)> respond) {
+  const auto configuration = configuration_->Current();
+  const config::Route* route =
+      configuration->routes && configuration->revision == request.version
+          ? configuration->routes->FindByName(request.upstream)
+          : nullptr;
+  if (!request.forward || !route || !route->gather) {
+    respond(query::MakeAllMissingAnswer(request,
+                                        query::MissingReason::kVersionGone));
+    return;
+  }
+  const auto cancellation = std::make_shared<http::Cancellation>();
+  const auto id = request_drain_.TryTake(
+      std::string(kDelegatedDrainPrefix) + request.upstream, deadline,
+      [cancellation] { cancellation->Cancel(); });
+  if (!id) {
+    respond(query::MakeAllMissingAnswer(request,
+                                        query::MissingReason::kOverloaded));
+    return;
+  }
+  const size_t top_records = request.forward->top_records;
+  const query::RunningLeafRequestPtr run = leaf_executor_.Execute(
+      upstream_cache_.UpstreamFor(configuration, route->gather->services),
+      std::move(request),
+      [this, id = *id, top_records,
+       respond = std::move(respond)](query::LeafAnswer answer) {
+        request_drain_.OnEnded(id);
+        query::LogDelegatedWork(answer, log_line_limiter_);
+        query::CompactParts(answer, top_records);
+        respond(std::move(answer));
+      });
+  cancellation->OnCancelled([run] { run->Cancel(); });
+}
+
 void ForwardCore::OnStatement(
     const std::string& instance,
     base::Instant asked,
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -28,6 +28,7 @@
 #include "LibPlatform/prefix_follower.h"
 #include "LibQuery/forward_filters.h"
 #include "LibQuery/log_line_limiter.h"
+#include "LibQuery/request_drain.h"
 #include "LibRouting/cluster_view.h"
 #include "LibUpstream/extra_load_budget.h"
 #include "LibUpstream/load_aware_hedge_policy.h"
@@ -98,8 +99,10 @@
   // some server, and is not leaving.
   bool is_ready();
   // Announces to the peers that this node is leaving. The node continues to
-  // answer requests.
-  void AnnounceLeaving();
+  // answer requests, but takes none that it can't be expected to end before
+  // `end`, and ends at that time those that are left.
+  void BeginDrain(base::Instant end);
+  query::DrainCounts drain_counts() { return request_drain_.counts(); }
   // Returns the number of running requests of callers and peers.
   size_t running_request_count() const { return running_request_count_; }
 
@@ -164,6 +167,11 @@
   // them or learned of them from peers: the revision of each, by key.
   std::map<std::string, uint64_t> ConfigurationFromPeers();
   std::map<std::string, uint64_t> ClaimsFromPeers();
+  // Executes work that another node has delegated, if it is of the
+  // configuration in force and this node has time for it.
+  void ExecuteDelegated(query::LeafRequest request,
+                        base::Instant deadline,
+                        std::function<void(query::LeafAnswer)> respond);
   void RefreshView();
   void RunHousekeeping();
   // Returns how many connections this node may open to one server of the
@@ -196,6 +204,7 @@
   ClusterLeafNodes leaf_nodes_;
   ConnectionWarmer connection_warmer_;
   query::LeafExecutor leaf_executor_;
+  query::RequestDrain request_drain_;
   query::ForwardFilterChain filter_chain_;
 
   std::mutex store_mutex_;
--- a/Libraries/LibQuery/forward_context.h
+++ b/Libraries/LibQuery/forward_context.h
@@ -43,8 +43,9 @@
   MergedAnswer merged = {};
   // Set unless the outcome is kRelayed or kMerged.
   std::optional<base::Error> error = std::nullopt;
-  // For kNotRun: the time after which the caller may retry.
-  base::Duration retry_after{};
+  // For kNotRun: the time after which the caller may retry; zero if another
+  // node would take the request now. Not set if no such time is known.
+  std::optional<base::Duration> retry_after = std::nullopt;
 
   static ForwardAnswer Failed(ForwardOutcome outcome, base::Error error) {
     ForwardAnswer answer;
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -102,6 +102,7 @@
   void Freeze(int node);
   void Resume(int node);
   void RunFor(base::Duration duration) { clock_.RunFor(duration); }
+  base::Instant Now() const { return clock_.Now(); }
 
   node::ForwardCore& core(int node);
   FakeEntryStoreState& store() { return store_; }
--- a/Tests/LibNode/server_limit_test.cc
+++ b/Tests/LibNode/server_limit_test.cc
@@ -50,7 +50,8 @@
       if (answer)
         ++outcomes[answer->outcome];
       if (answer && answer->outcome == ForwardOutcome::kNotRun)
-        longest_wait = std::max(longest_wait, answer->retry_after);
+        longest_wait = std::max(
+            longest_wait, answer->retry_after.value_or(base::Duration::zero()));
       for (const auto& [server, request] : tier_.log())
         calls[server].push_back(now_);
     }
--- a/Tests/platform/codec_test.cc
+++ b/Tests/platform/codec_test.cc
@@ -101,6 +101,12 @@
   const auto response = EncodeAnswer(*call.request, answer);
   CHECK(response.status == 503);
   CHECK(http::FindHeader(response.headers, "Retry-After") == "0.05");
+  answer.retry_after = base::Duration::zero();
+  CHECK(http::FindHeader(EncodeAnswer(*call.request, answer).headers,
+                         "Retry-After") == "0");
+  answer.retry_after.reset();
+  CHECK(http::CountHeaders(EncodeAnswer(*call.request, answer).headers,
+                           "Retry-After") == 0);
 }
 
 TEST_CASE("store entries that are not valid claims are rejected") {
