--- a/Libraries/LibQuery/request_drain.cc
+++ b/Libraries/LibQuery/request_drain.cc
@@ -3,7 +3,6 @@
 #include "LibQuery/request_drain.h"
 
 #include <algorithm>
-#include <ranges>
 #include <utility>
 #include <vector>
 
@@ -71,7 +70,7 @@
   std::vector<CancelFunction> cancels;
   {
     const std::lock_guard lock(mutex_);
-    for (const RunningRequest& request : running_ | std::views::values)
+    for (const auto& [id, request] : running_)
       cancels.push_back(request.cancel);
     counts_.cancelled += cancels.size();
   }
