--- a/Tests/platform/soak/fleet.cc
+++ b/Tests/platform/soak/fleet.cc
@@ -148,6 +148,12 @@
     host.Signal(SIGSTOP);
 }
 
+void ProcessorQuota::Lift(Host& host) {
+  share_ = 1;
+  is_stopped_ = false;
+  host.Signal(SIGCONT);
+}
+
 Fleet::Fleet(const FleetOptions& options, Recorder& recorder)
     : grace_(std::chrono::seconds(options.grace_seconds)), recorder_(recorder) {
   for (const HostOptions& host : options.hosts) {
@@ -209,6 +215,11 @@
   }
 }
 
+void Fleet::LiftQuotas() {
+  std::ranges::for_each(hosts_,
+                        [](auto& state) { state.quota.Lift(*state.host); });
+}
+
 bool Fleet::IsWhole() const {
   return std::ranges::none_of(
       hosts_, [](const auto& state) { return state.stop || state.restart_at; });
--- a/Tests/platform/soak/fleet.h
+++ b/Tests/platform/soak/fleet.h
@@ -74,9 +74,11 @@
  public:
   explicit ProcessorQuota(double share) : share_(share) {}
   void Tick(Host& host, base::Instant now);
+  // Lets the host run without a limit from now on.
+  void Lift(Host& host);
 
  private:
-  const double share_;
+  double share_;
   base::Instant period_end_{};
   base::Duration used_before_{};  // Until the period began.
   bool is_stopped_ = false;
@@ -96,6 +98,8 @@
   void KillAll(base::Duration down);
   // Does what is due. Call it every few milliseconds.
   void Tick();
+  // Lets all hosts use as much of a processor as they need.
+  void LiftQuotas();
   // Returns whether no host is stopping or down.
   bool IsWhole() const;
   // Returns whether all hosts are ready before `wait` is over.
