--- a/Tests/platform/soak/client.cc
+++ b/Tests/platform/soak/client.cc
@@ -27,7 +27,6 @@
 
 namespace {
 
-constexpr char kHostName[] = "leno12.example";
 constexpr base::Duration kConnectTimeout = std::chrono::seconds(1);
 constexpr base::Duration kResolveTimeout = std::chrono::seconds(1);
 constexpr base::Duration kResolvePause = std::chrono::milliseconds(200);
@@ -66,7 +65,7 @@
   request.version(11);
   request.method_string(kind.method);
   request.target(kind.path_prefix + id);
-  request.set(beast::http::field::host, kHostName);
+  request.set(beast::http::field::host, kRequestHost);
   request.set(wire::kRequestId, id);
   request.set(
       wire::kDeadlineMs,
@@ -253,11 +252,11 @@
       co_await stream.async_connect(*endpoint, kAwaitTuple);
   if (connect_error)
     co_return false;
-  StringRequest request{beast::http::verb::get,
-                        std::string(wire::kResolvePath) + "?name=" + kHostName +
-                            "&region=r&" + wire::kCallerZone + "=" +
-                            options_.availability_zone,
-                        11};
+  StringRequest request{
+      beast::http::verb::get,
+      std::string(wire::kResolvePath) + "?name=" + kRequestHost + "&region=r&" +
+          wire::kCallerZone + "=" + options_.availability_zone,
+      11};
   request.set(beast::http::field::host, directory);
   const auto [write_error, written] =
       co_await beast::http::async_write(stream, request, kAwaitTuple);
--- a/Tests/platform/soak/client.h
+++ b/Tests/platform/soak/client.h
@@ -20,6 +20,9 @@
 
 namespace soak {
 
+// The host that all requests name.
+inline constexpr char kRequestHost[] = "leno12.example";
+
 // A kind of request.
 struct RequestKind {
   std::string route;
--- a/Tests/platform/soak/scenario.cc
+++ b/Tests/platform/soak/scenario.cc
@@ -15,7 +15,6 @@
 
 namespace {
 
-constexpr char kHostName[] = "leno12.example";
 constexpr int kAttempts = 2;
 // The first kinds of each deployment are queries to all shards.
 constexpr size_t kGatherKinds = 2;
@@ -94,7 +93,7 @@
   const RequestKind& kind = deployment.kinds[index];
   json route = {
       {"name", kind.route},
-      {"host", kHostName},
+      {"host", kRequestHost},
       {"prefix", kind.path_prefix},
       {"route_type", kind.is_idempotent ? "idempotent" : "non_idempotent"},
       {"timeout_ms",
--- a/Tests/platform/soak/scenario.h
+++ b/Tests/platform/soak/scenario.h
@@ -40,8 +40,8 @@
 std::optional<Deployment> FindDeployment(const std::string& name);
 std::vector<std::string> DeploymentNames();
 
-// Returns the text of a configuration, in the platform's format. Each version
-// has a route more than the one before, so that versions differ.
+// Returns the text of a configuration, in the platform's format. Besides the
+// deployment's routes, each version has a route of its own.
 std::string MakeConfiguration(const Deployment& deployment, uint64_t version);
 
 // How hosts are stopped and started.
