LibHttp: Reject responses whose status is out of range

Callers got a server's answer with status 000 as an answer: 'HTTP/1.1 000 <unknown-status>' with the server's body and stamp, from routes to a single server, repeatable or not. A route that gathers from one service merged the body and answered 200. If a sound server was beside, some callers got the broken answer too, and the server counted as healthy and fast.

Cause: Beast accepts any status of three digits, and nothing else checked that it is one. The servers' codec takes what is below 500 for the whole answer. FetchHosts and FetchReport look at the body only.

http::Connection reads all responses: of servers, the store, the key-value service, the host list, reports and the program's own commands. It now reads the head first and ends the exchange with kProtocol if the status is not from 100 to 599 (RFC 9110, section 15), before it waits for the body. For a server, that is the existing kBroken: the call counts as failed, another server is asked if the request may be repeated and the budget allows it, a hedge that is still open goes on, and a request that must not be repeated ends as unknown (504). A refusal (Celerycroft-Not-Executed) in such a head no longer counts. The log names the server and the request, and quotes no byte of the response.

The key-value service and the store were safe by their own checks of the status; bookings ended as unknown, as they do now. Nodes exchange no status.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -79,6 +79,21 @@
   return response;
 }
 
+// RFC 9110, section 15, calls any other status invalid.
+constexpr unsigned kMinStatus = 100;
+constexpr unsigned kMaxStatus = 599;
+
+using ResponseParser = beast::http::response_parser<beast::http::string_body>;
+
+// Returns why the response whose head has been read can't be used, if so.
+// Beast accepts any status of three digits.
+beast::error_code FindHeadError(const ResponseParser& parser) {
+  const unsigned status = parser.get().result_int();
+  if (status < kMinStatus || status > kMaxStatus)
+    return beast::http::error::bad_status;
+  return {};
+}
+
 }  // namespace
 
 ExchangeResult Connection::State::CloseAndFail(beast::error_code error,
@@ -153,9 +168,18 @@
   if (write_error)
     co_return CloseAndFail(write_error, SentState::kMaybeSent,
                            "can't send a request to");
-  beast::http::response_parser<beast::http::string_body> parser;
+  ResponseParser parser;
   parser.body_limit(max_body_bytes);
   parser.skip(response_has_no_body);
+  const auto [head_error, head_size] =
+      co_await beast::http::async_read_header(stream, buffer, parser, token);
+  if (head_error)
+    co_return CloseAndFail(head_error, SentState::kMaybeSent,
+                           "can't read the response of");
+  // NOTE: The body of an unusable response may be long, or never end.
+  if (const beast::error_code error = FindHeadError(parser))
+    co_return CloseAndFail(error, SentState::kMaybeSent,
+                           "can't use the response of");
   const auto [read_error, read] =
       co_await beast::http::async_read(stream, buffer, parser, token);
   if (read_error)
--- /dev/null
+++ b/Tests/LibHttp/malformed_response_test.cc
@@ -0,0 +1,69 @@
+// Bytes that only resemble a response must not reach the client's callers as
+// one.
+
+#include <doctest/doctest.h>
+
+#include <array>
+#include <boost/asio/io_context.hpp>
+#include <chrono>
+#include <cstdio>
+#include <optional>
+#include <string>
+
+#include "LibHttp/client.h"
+#include "StandIns/raw_server.h"
+
+namespace {
+
+constexpr char kAddress[] = "127.0.0.80:18084";
+constexpr base::Duration kTimeout = std::chrono::seconds(10);
+constexpr int kStatusCount = 1000;  // Of three digits.
+constexpr int kMinStatus = 100;
+constexpr int kMaxStatus = 599;
+
+// Returns what the client makes of `bytes`.
+http::ExchangeResult Receive(const std::string& bytes) {
+  const standins::RawServer server(kAddress, [&] { return bytes; });
+  boost::asio::io_context io;
+  std::optional<http::ExchangeResult> result;
+  http::ExchangeOnce(io, kAddress, {"GET", "/", {{"Host", "h"}}, ""}, kTimeout,
+                     [&](http::ExchangeResult given) { result = given; });
+  io.run();
+  REQUIRE(result);
+  return *result;
+}
+
+// The request may have run, although its response can't be used.
+void CheckIsProtocolError(const http::ExchangeResult& result) {
+  CHECK_FALSE(result);
+  if (result)
+    return;
+  CHECK(result.error().error.kind() == base::ErrorKind::kProtocol);
+  CHECK(result.error().sent == http::SentState::kMaybeSent);
+}
+
+TEST_CASE("a response with status 000 is a protocol error") {
+  for (const char* rest :
+       {"Content-Length: 4\r\n\r\nbody",
+        "Transfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n",
+        "\r\nbody"}) {
+    CAPTURE(rest);
+    CheckIsProtocolError(Receive(std::string("HTTP/1.1 000 OK\r\n") + rest));
+  }
+}
+
+TEST_CASE("a status outside the range of RFC 9110 is a protocol error") {
+  for (int status = 0; status < kStatusCount; ++status) {
+    CAPTURE(status);
+    std::array<char, 4> digits{};
+    std::snprintf(digits.data(), digits.size(), "%03d", status);
+    const auto result = Receive("HTTP/1.1 " + std::string(digits.data()) +
+                                " X\r\nContent-Length: 0\r\n\r\n");
+    if (status < kMinStatus || status > kMaxStatus)
+      CheckIsProtocolError(result);
+    else
+      CHECK(result.map(&http::Response::status) == status);
+  }
+}
+
+}  // namespace
--- a/Tests/LibUpstream/http_transport_test.cc
+++ b/Tests/LibUpstream/http_transport_test.cc
@@ -6,9 +6,12 @@
 
 #include <boost/asio.hpp>
 #include <chrono>
+#include <optional>
 #include <string>
 #include <vector>
 
+#include "StandIns/raw_server.h"
+
 namespace upstream {
 namespace {
 
@@ -16,6 +19,7 @@
 
 constexpr char kHost[] = "127.0.0.79";
 constexpr uint16_t kPort = 18083;
+constexpr char kRawAddress[] = "127.0.0.79:18086";
 constexpr base::Duration kTimeout = std::chrono::seconds(10);
 // Enough for a connection over loopback on a busy machine.
 constexpr base::Duration kConnectTime = std::chrono::seconds(2);
@@ -147,5 +151,25 @@
   CHECK(ended == 1);
 }
 
+TEST_CASE("a report with status 000 is a protocol error") {
+  const standins::RawServer server(kRawAddress, [] {
+    return R"(HTTP/1.1 000 OK)"
+           "\r\n\r\n"
+           R"({"address":"a","incarnation":1,"sequence":1,"leaving":false,)"
+           R"("held":[]})";
+  });
+  TransportFixture fixture;
+  std::optional<base::Result<ServerReport>> report;
+  fixture.transport.FetchReport({kRawAddress, 1, "i"}, kTimeout,
+                                [&](auto given) { report = std::move(given); });
+  const auto limit = std::chrono::steady_clock::now() + kConnectTime;
+  while (!report && std::chrono::steady_clock::now() < limit)
+    fixture.io.run_for(std::chrono::milliseconds(1));
+  REQUIRE(report);
+  CHECK_FALSE(*report);
+  if (!*report)
+    CHECK(report->error().kind() == base::ErrorKind::kProtocol);
+}
+
 }  // namespace
 }  // namespace upstream
--- /dev/null
+++ b/Tests/platform/broken_answer_test.cc
@@ -0,0 +1,197 @@
+// What callers get if a server sends bytes that only resemble an answer, over
+// real sockets: a node, a stand-in for the store, and servers that answer with
+// given bytes.
+
+#include <doctest/doctest.h>
+
+#include <atomic>
+#include <boost/asio.hpp>
+#include <boost/asio/post.hpp>
+#include <chrono>
+#include <memory>
+#include <mutex>
+#include <string>
+#include <string_view>
+#include <thread>
+#include <vector>
+
+#include "LibBase/log.h"
+#include "LibHttp/address.h"
+#include "StandIns/raw_server.h"
+#include "forward_node.h"
+#include "io_thread.h"
+#include "scenario.h"
+#include "stand_in_store.h"
+#include "wire.h"
+
+namespace platform {
+namespace {
+
+using boost::asio::ip::tcp;
+using standins::RawServer;
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+constexpr char kStoreAddress[] = "127.0.0.81:20000";
+constexpr char kCallerAddress[] = "127.0.0.81:20001";
+constexpr base::Duration kTimeAllowed = seconds(2);
+constexpr base::Duration kSettleTime = seconds(10);
+constexpr base::Duration kPollPeriod = milliseconds(20);
+constexpr char kSoundAnswer[] =
+    "HTTP/1.1 200 OK\r\nCelerycroft-Server-Stamp: sound\r\n"
+    "Content-Length: 16\r\n\r\nsixteen of sound";
+
+// Every request may be repeated once: a node that has just started has no
+// slack.
+constexpr char kSettings[] = R"({
+  "nodeId": "n0", "availabilityZone": "a",
+  "callerAddress": "127.0.0.81:20001", "readinessAddress": "127.0.0.81:20002",
+  "directoryAddress": "127.0.0.81:20003", "peerAddress": "127.0.0.81:20004",
+  "operatorAddress": "127.0.0.81:20005", "storeAddress": "127.0.0.81:20000",
+  "peerSeeds": [], "addressHoldSeconds": 2, "stopGraceSeconds": 6,
+  "extraLoadShare": 1
+})";
+
+// Routes to the services below. All but /pair/ have the server in trouble only.
+soak::Deployment MakeDeployment() {
+  soak::Deployment deployment;
+  deployment.zones = {"a"};
+  deployment.shards = 1;
+  deployment.shard = {"shard", 1, 3, {}};
+  deployment.single_services = {
+      {"alone", 1, 3, {}}, {"once", 1, 3, {}}, {"pair", 2, 3, {}}};
+  deployment.kinds = {{"gather", "/gather/", "GET", kTimeAllowed},
+                      {"gather2", "/gather2/", "GET", kTimeAllowed},
+                      {"alone", "/alone/", "GET", kTimeAllowed},
+                      {"once", "/once/", "POST", kTimeAllowed, false},
+                      {"pair", "/pair/", "GET", kTimeAllowed}};
+  deployment.objectives_ms = {1000, 1000, 1000, 1000, 1000};
+  return deployment;
+}
+
+// Returns the bytes of the answer to a request, up to the connection's end.
+std::string Send(const std::string& method, const std::string& target) {
+  static std::atomic<int> next_id{1};
+  boost::asio::io_context io;
+  tcp::socket socket(io);
+  socket.connect(http::ParseEndpoint(kCallerAddress).value());
+  boost::asio::write(
+      socket,
+      boost::asio::buffer(method + " " + target +
+                          " HTTP/1.1\r\nHost: " + soak::kRequestHost + "\r\n" +
+                          wire::kRequestId + ": r" + std::to_string(next_id++) +
+                          "\r\n" + wire::kDeadlineMs + ": 2000\r\n" +
+                          "Content-Length: 0\r\nConnection: close\r\n\r\n"));
+  std::string answer;
+  boost::system::error_code error;
+  boost::asio::read(socket, boost::asio::dynamic_buffer(answer), error);
+  return answer;
+}
+
+// A node, its store, and the servers of all services.
+class Tier {
+ public:
+  Tier() {
+    base::DisableLog();
+    for (const char* service : {"shard0", "alone", "once", "pair"})
+      AddServer(service, [this] { return TroubledAnswer(); });
+    AddServer("pair", [] { return kSoundAnswer; });
+    boost::asio::post(store_thread_.io(), [this] {
+      store_.Put(wire::kConfigurationPrefix,
+                 soak::MakeConfiguration(MakeDeployment(), 1));
+    });
+    node_ = ForwardNode::Create(
+                config::ParseForwardNodeSettings(kSettings, "test").settings,
+                node_thread_.io())
+                .value();
+    WaitUntilServed();
+  }
+  ~Tier() {
+    node_thread_.Stop();
+    store_thread_.Stop();
+  }
+
+  // Sets the answer of the server in trouble.
+  void SetAnswer(std::string answer) {
+    const std::lock_guard lock(mutex_);
+    answer_ = std::move(answer);
+    troubled_calls_ = 0;
+  }
+  // How many requests the server in trouble got since its answer was set.
+  int troubled_calls() const { return troubled_calls_; }
+
+ private:
+  void AddServer(const std::string& service, RawServer::Answer answer) {
+    const std::string index = std::to_string(servers_.size());
+    const std::string address = "127.0.0.81:2101" + index;
+    servers_.push_back(std::make_unique<RawServer>(address, std::move(answer)));
+    const std::string entry =
+        R"({"service":")" + service + R"(","address":")" + address +
+        R"(","zone":"a","version":"v1","slots":3,"state":"ready",)"
+        R"("cold_remaining_ms":0,"sequence":1,"born":1790000000000})";
+    boost::asio::post(store_thread_.io(), [this, index, entry] {
+      store_.Put(wire::kServersPrefix + ("i-" + index), entry);
+    });
+  }
+
+  std::string TroubledAnswer() {
+    const std::lock_guard lock(mutex_);
+    ++troubled_calls_;
+    return answer_;
+  }
+
+  // Waits until the node knows the configuration and all servers.
+  static void WaitUntilServed() {
+    const auto end = std::chrono::steady_clock::now() + kSettleTime;
+    for (const char* target : {"/gather/", "/alone/", "/once/", "/pair/"}) {
+      while (!Send("GET", target).starts_with("HTTP/1.1 200")) {
+        REQUIRE(std::chrono::steady_clock::now() < end);
+        std::this_thread::sleep_for(kPollPeriod);
+      }
+    }
+  }
+
+  std::mutex mutex_;
+  std::string answer_ = kSoundAnswer;
+  std::atomic<int> troubled_calls_{0};
+  std::vector<std::unique_ptr<RawServer>> servers_;
+  soak::IoThread store_thread_;
+  soak::StandInStore store_{store_thread_.io(), kStoreAddress};
+  soak::IoThread node_thread_;
+  std::unique_ptr<ForwardNode> node_;
+};
+
+// Checks that no caller gets the answer of the server in trouble.
+void CheckIsNotRelayed(Tier& tier, const std::string& answer) {
+  CAPTURE(answer);
+  for (const char* target : {"/gather/", "/alone/", "/once/"}) {
+    CAPTURE(target);
+    const bool is_repeatable = std::string_view(target) != "/once/";
+    tier.SetAnswer(answer);
+    const std::string given = Send(is_repeatable ? "GET" : "POST", target);
+    CAPTURE(given);
+    CHECK(given.starts_with("HTTP/1.1 504 "));
+    CHECK(given.find("trouble") == std::string::npos);
+    CHECK(tier.troubled_calls() == 1);
+  }
+  // Another server is asked instead.
+  for (int i = 0; i < 5; ++i) {
+    const std::string given = Send("GET", "/pair/");
+    CAPTURE(given);
+    CHECK(given.ends_with("sixteen of sound"));
+  }
+}
+
+TEST_CASE("an answer with status 000 is not relayed") {
+  Tier tier;
+  const std::string head =
+      "HTTP/1.1 000 OK\r\nCelerycroft-Server-Stamp: trouble\r\n";
+  CheckIsNotRelayed(tier, head + "Content-Length: 14\r\n\r\ntrouble length");
+  CheckIsNotRelayed(tier, head +
+                              "Transfer-Encoding: chunked\r\n\r\n"
+                              "f\r\ntrouble chunks!\r\n0\r\n\r\n");
+  CheckIsNotRelayed(tier, head + "\r\ntrouble to the end");
+}
+
+}  // namespace
+}  // namespace platform
