LibHttp: Reject responses with an interim status as final ones

Callers got a server's stamped answer with status 101 as the final answer, though nobody asked to switch protocols. What follows such a head isn't HTTP.

Cause: an interim response (100 to 199) has no body for Beast, so that the parser is done after its head, and the client took it for the final response.

http::Connection now ends the exchange with kProtocol if the status is below 200. Interim responses are still not skipped: a server that sends one before its answer counts as broken, as it did before for lack of a signature.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -79,17 +79,20 @@
   return response;
 }
 
-// RFC 9110, section 15, calls any other status invalid.
-constexpr unsigned kMinStatus = 100;
+// RFC 9110, section 15: lower statuses are interim or invalid, higher ones
+// invalid.
+constexpr unsigned kMinFinalStatus = 200;
 constexpr unsigned kMaxStatus = 599;
 
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
 // Returns why the response whose head has been read can't be used, if so.
 // Beast accepts any status of three digits.
+// FIXME: Skip interim responses and read the final one. Until then, a server
+// that sends one counts as broken.
 beast::error_code FindHeadError(const ResponseParser& parser) {
   const unsigned status = parser.get().result_int();
-  if (status < kMinStatus || status > kMaxStatus)
+  if (status < kMinFinalStatus || status > kMaxStatus)
     return beast::http::error::bad_status;
   return {};
 }
--- a/Tests/LibHttp/malformed_response_test.cc
+++ b/Tests/LibHttp/malformed_response_test.cc
@@ -18,7 +18,7 @@
 constexpr char kAddress[] = "127.0.0.80:18084";
 constexpr base::Duration kTimeout = std::chrono::seconds(10);
 constexpr int kStatusCount = 1000;  // Of three digits.
-constexpr int kMinStatus = 100;
+constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
 
 // Returns what the client makes of `bytes`.
@@ -52,14 +52,14 @@
   }
 }
 
-TEST_CASE("a status outside the range of RFC 9110 is a protocol error") {
+TEST_CASE("a status that no final response has is a protocol error") {
   for (int status = 0; status < kStatusCount; ++status) {
     CAPTURE(status);
     std::array<char, 4> digits{};
     std::snprintf(digits.data(), digits.size(), "%03d", status);
     const auto result = Receive("HTTP/1.1 " + std::string(digits.data()) +
                                 " X\r\nContent-Length: 0\r\n\r\n");
-    if (status < kMinStatus || status > kMaxStatus)
+    if (status < kMinFinalStatus || status > kMaxStatus)
       CheckIsProtocolError(result);
     else
       CHECK(result.map(&http::Response::status) == status);
--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -193,5 +193,12 @@
   CheckIsNotRelayed(tier, head + "\r\ntrouble to the end");
 }
 
+TEST_CASE("a switch of protocols that was not asked for is not relayed") {
+  Tier tier;
+  CheckIsNotRelayed(tier,
+                    "HTTP/1.1 101 Switching Protocols\r\nUpgrade: x\r\n"
+                    "Celerycroft-Server-Stamp: trouble\r\n\r\n");
+}
+
 }  // namespace
 }  // namespace platform
