LibHttp: Reject responses in transfer codings that are not decoded

Callers got a stamped 200 with a body that wasn't the server's: chunk sizes and all, or still in a coding such as gzip, from heads that name a transfer coding other than `chunked`, or `chunked` twice.

Cause: Beast decodes a body if `chunked` ends the last Transfer-Encoding field, and stands there once. It reads any other body as it is, up to Content-Length or the end of the connection, and reports no error. The field isn't passed on, so that callers couldn't tell.

http::Connection now ends the exchange with kProtocol unless the codings of all fields together are a single `chunked`. The client never asks for another one: TE is not passed on. Lists with empty elements are still accepted (RFC 9110, section 5.6.1.2).

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -8,6 +8,8 @@
 #include <atomic>
 #include <boost/asio.hpp>
 #include <boost/beast.hpp>
+#include <boost/range/iterator_range.hpp>
+#include <iterator>
 
 #include "LibHttp/address.h"
 #include "LibHttp/buffer_limit.h"
@@ -86,6 +88,24 @@
 
 using ResponseParser = beast::http::response_parser<beast::http::string_body>;
 
+// Returns whether the parser decodes all transfer codings of the response. It
+// knows `chunked` only, and leaves a body in any other coding as it is. The
+// client asks for no other one (RFC 9112, section 7.4).
+bool CanDecodeBody(const ResponseParser& parser) {
+  const auto [begin, end] =
+      parser.get().equal_range(beast::http::field::transfer_encoding);
+  if (begin == end)
+    return true;
+  ptrdiff_t codings = 0;
+  for (const auto& field : boost::make_iterator_range(begin, end)) {
+    const beast::http::opt_token_list list(field.value());
+    if (!beast::http::validate_list(list))
+      return false;
+    codings += std::distance(list.begin(), list.end());
+  }
+  return parser.chunked() && codings == 1;
+}
+
 // Returns why the response whose head has been read can't be used, if so.
 // Beast accepts any status of three digits.
 // FIXME: Skip interim responses and read the final one. Until then, a server
@@ -94,6 +114,8 @@
   const unsigned status = parser.get().result_int();
   if (status < kMinFinalStatus || status > kMaxStatus)
     return beast::http::error::bad_status;
+  if (!CanDecodeBody(parser))
+    return beast::http::error::bad_transfer_encoding;
   return {};
 }
 
--- a/Tests/LibHttp/malformed_response_test.cc
+++ b/Tests/LibHttp/malformed_response_test.cc
@@ -66,4 +66,36 @@
   }
 }
 
+// The client asks for no transfer coding, so that a server may use `chunked`
+// only. A body in another one would be passed on encoded.
+TEST_CASE("a transfer coding besides a single chunked is a protocol error") {
+  const std::string body = "\r\n4\r\nbody\r\n0\r\n\r\n";
+  const auto receive = [&](const std::string& fields) {
+    return Receive("HTTP/1.1 200 OK\r\n" + fields + body);
+  };
+  const std::string name = "Transfer-Encoding: ";
+  for (const char* codings :
+       {"", "@", "gzip", "identity", "xchunked", "\"chunked\"", "chunked;q=1",
+        "chunked gzip", "gzip, chunked", "chunked, gzip", "chunked, chunked"}) {
+    CAPTURE(std::string(codings));
+    const std::string field = name + codings + "\r\n";
+    CheckIsProtocolError(receive(field));
+    CheckIsProtocolError(receive(field + "Content-Length: 14\r\n"));
+    CheckIsProtocolError(receive("Content-Length: 14\r\n" + field));
+  }
+  for (const char* codings : {"@", "gzip", "chunked"}) {
+    CAPTURE(std::string(codings));
+    const std::string field = name + codings + "\r\n";
+    CheckIsProtocolError(receive(field + name + "chunked\r\n"));
+    CheckIsProtocolError(receive(name + "chunked\r\n" + field));
+  }
+  // RFC 9110, section 5.6.1.2: a list may have empty elements.
+  for (const char* codings : {"chunked", "Chunked ", ", chunked", "chunked,"}) {
+    CAPTURE(std::string(codings));
+    const auto result = receive(name + codings + "\r\n");
+    REQUIRE(result);
+    CHECK(result->body == "body");
+  }
+}
+
 }  // namespace
--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -200,5 +200,15 @@
                     "Celerycroft-Server-Stamp: trouble\r\n\r\n");
 }
 
+TEST_CASE("a body in an unknown transfer coding is not relayed") {
+  Tier tier;
+  const std::string head =
+      "HTTP/1.1 200 OK\r\nCelerycroft-Server-Stamp: trouble\r\n";
+  const std::string body = "\r\nf\r\ntrouble chunks!\r\n0\r\n\r\n";
+  CheckIsNotRelayed(tier, head + "Transfer-Encoding: gzip\r\n" + body);
+  CheckIsNotRelayed(tier,
+                    head + "Transfer-Encoding: chunked, chunked\r\n" + body);
+}
+
 }  // namespace
 }  // namespace platform
