Tests: Send field names with blanks and control bytes to clients

On other systems, answers in whose head the name of a field held a blank or a control byte reached clients. Here they don't: Beast rejects such a head, and callers get 504 or the answer of a sound server. The product is unchanged.

malformed_response_test sends each of the 178 bytes that no name may hold, as the first, middle and last byte of names of 1 to 64 bytes; broken_answer_test sends a blank, tab, NUL, 0x01 and 0x7f from servers to callers.

--- a/Tests/LibHttp/malformed_response_test.cc
+++ b/Tests/LibHttp/malformed_response_test.cc
@@ -5,10 +5,13 @@
 
 #include <array>
 #include <boost/asio/io_context.hpp>
+#include <cctype>
 #include <chrono>
 #include <cstdio>
 #include <optional>
+#include <set>
 #include <string>
+#include <string_view>
 
 #include "LibHttp/client.h"
 #include "StandIns/raw_server.h"
@@ -17,6 +20,7 @@
 
 constexpr char kAddress[] = "127.0.0.80:18084";
 constexpr base::Duration kTimeout = std::chrono::seconds(10);
+constexpr int kByteCount = 256;
 constexpr int kStatusCount = 1000;  // Of three digits.
 constexpr int kMinFinalStatus = 200;
 constexpr int kMaxStatus = 599;
@@ -98,4 +102,32 @@
   }
 }
 
+// RFC 9110, section 5.6.2.
+bool IsTokenByte(char byte) {
+  return std::isalnum(static_cast<unsigned char>(byte)) != 0 ||
+         std::string_view("!#$%&'*+-.^_`|~").find(byte) !=
+             std::string_view::npos;
+}
+
+TEST_CASE("a byte that no field name may hold is a protocol error") {
+  for (const size_t length : {1, 2, 3, 7, 15, 16, 17, 31, 32, 33, 64}) {
+    for (int value = 0; value < kByteCount; ++value) {
+      const char byte = static_cast<char>(value);
+      // A colon ends the name.
+      if (IsTokenByte(byte) || byte == ':')
+        continue;
+      for (const size_t position :
+           std::set{size_t{0}, length / 2, length - 1}) {
+        CAPTURE(length);
+        CAPTURE(value);
+        CAPTURE(position);
+        std::string name(length, 'a');
+        name[position] = byte;
+        CheckIsProtocolError(Receive("HTTP/1.1 200 OK\r\n" + name +
+                                     ": v\r\nContent-Length: 0\r\n\r\n"));
+      }
+    }
+  }
+}
+
 }  // namespace
--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -210,5 +210,19 @@
                     head + "Transfer-Encoding: chunked, chunked\r\n" + body);
 }
 
+TEST_CASE("an answer with an invalid field name is not relayed") {
+  Tier tier;
+  const std::string end = ": 1\r\nContent-Length: 7\r\n\r\ntrouble";
+  for (const char byte : {' ', '\t', '\0', '\x01', '\x7f'}) {
+    for (const std::string& name :
+         {std::string("X-Trouble") + byte, std::string("X-") + byte + "Trouble",
+          std::string("Content-Length") + byte,
+          std::string("Transfer") + byte + "Encoding"})
+      CheckIsNotRelayed(
+          tier, "HTTP/1.1 200 OK\r\nCelerycroft-Server-Stamp: trouble\r\n" +
+                    name + end);
+  }
+}
+
 }  // namespace
 }  // namespace platform
