LibPlatform: Keep the host list's document while it is read

A node got no hosts from a sound host list, or read what memory held by then.

Cause: the loop iterated over a member of a temporary JSON document, which C++20 destroys before the first pass. AddressSanitizer: heap-use-after-free in ParseHosts (host_list.cc:21).

The document now lives as long as the loop. No other loop in Libraries, platform or Services iterates over a member of a temporary document.

--- a/Libraries/LibPlatform/host_list.cc
+++ b/Libraries/LibPlatform/host_list.cc
@@ -17,8 +17,9 @@
 
 base::Result<std::vector<Host>> ParseHosts(const std::string& text) {
   try {
+    const json document = json::parse(text);
     std::vector<Host> hosts;
-    for (const json& host : json::parse(text).at("hosts"))
+    for (const json& host : document.at("hosts"))
       hosts.push_back({host.at("nodeId").get<std::string>(),
                        host.at("peerAddress").get<std::string>()});
     return hosts;
--- a/Tests/LibPlatform/host_list_test.cc
+++ b/Tests/LibPlatform/host_list_test.cc
@@ -27,6 +27,13 @@
   return hosts.value();
 }
 
+TEST_CASE("a host list names its hosts") {
+  const auto hosts = Fetch("HTTP/1.1 200 OK");
+  REQUIRE(hosts);
+  REQUIRE(hosts->size() == 1);
+  CHECK(hosts->front() == Host{"n0", "10.0.0.1:1"});
+}
+
 TEST_CASE("a host list with status 000 is a protocol error") {
   const auto hosts = Fetch("HTTP/1.1 000 OK");
   CHECK_FALSE(hosts);
