LibHttp: Name a fitting remedy for responses that can't be used

A response with an invalid status told operators of the store or the host list to check that the server runs and can be reached, though it had answered.

Cause: the check of heads reports through CloseAndFail, whose remedy was written for connections that fail. It now also asks whether the server speaks HTTP/1.1. The header says which responses fail.

malformed_response_test failed without the change (it checks the remedy of each rejected response), and passes with it.

--- a/Libraries/LibHttp/client.cc
+++ b/Libraries/LibHttp/client.cc
@@ -138,7 +138,7 @@
   return tl::make_unexpected(ExchangeError{
       Error(kind,
             std::string(message_start) + " " + address + ": " + error.message(),
-            "check that the server runs and can be reached"),
+            "check that the server runs, can be reached and speaks HTTP/1.1"),
       sent});
 }
 
--- a/Libraries/LibHttp/client.h
+++ b/Libraries/LibHttp/client.h
@@ -45,7 +45,9 @@
 
   // Sends `request` and reads the response. Calls `callback` once, on a thread
   // of the io_context. After any error the connection is closed and must not be
-  // used again. At most one exchange may run at a time.
+  // used again. At most one exchange may run at a time. A response that is
+  // malformed, has a status outside 200 to 599 or names a transfer coding other
+  // than a single `chunked` fails with kProtocol.
   void Exchange(Request request,
                 base::Duration timeout,
                 size_t max_body_bytes,
--- a/Tests/LibHttp/malformed_response_test.cc
+++ b/Tests/LibHttp/malformed_response_test.cc
@@ -44,6 +44,8 @@
     return;
   CHECK(result.error().error.kind() == base::ErrorKind::kProtocol);
   CHECK(result.error().sent == http::SentState::kMaybeSent);
+  CHECK(result.error().error.remedy() ==
+        "check that the server runs, can be reached and speaks HTTP/1.1");
 }
 
 TEST_CASE("a response with status 000 is a protocol error") {
