--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -6,7 +6,6 @@
 
 #include <atomic>
 #include <boost/asio.hpp>
-#include <boost/asio/post.hpp>
 #include <chrono>
 #include <memory>
 #include <mutex>
@@ -52,7 +51,8 @@
   "extraLoadShare": 1
 })";
 
-// Routes to the services below. All but /pair/ have the server in trouble only.
+// Routes to the services below, of which the first two gather. All but /pair/
+// have the server in trouble only.
 soak::Deployment MakeDeployment() {
   soak::Deployment deployment;
   deployment.zones = {"a"};
