Tests: Announce that a stand-in closes its connections

broken_answer_test failed in 1 of 50 runs after a build, and in 49 of 150 beside 12 busy processes: a caller of /pair/ got 504 though a sound server was there.

Cause: RawServer closes a connection after its answer, but the sound answer did not say so. If the stand-in lost the processor in between, the node sent the next request on that connection and got no answer; the retry met the server in trouble with the last attempt. Traced: 'pair/i-4 primary: broken_answer; pair/i-3 retry: broken_answer (no attempt left)', where i-4 is the sound server. With 3 ms between answer and close 10 of 10 runs failed, and none of 10 with Connection: close.

The sound answer now says Connection: close. No check changed.

--- a/Tests/StandIns/raw_server.h
+++ b/Tests/StandIns/raw_server.h
@@ -12,6 +12,9 @@
 
 namespace standins {
 
+// Closes each connection after its first answer. A peer that keeps connections
+// may send another request before it sees that, unless the answer says
+// `Connection: close`.
 class RawServer {
  public:
   // Returns the bytes to send in answer to a request. Called on the thread of
--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -38,7 +38,7 @@
 constexpr base::Duration kPollPeriod = milliseconds(20);
 constexpr char kSoundAnswer[] =
     "HTTP/1.1 200 OK\r\nCelerycroft-Server-Stamp: sound\r\n"
-    "Content-Length: 16\r\n\r\nsixteen of sound";
+    "Connection: close\r\nContent-Length: 16\r\n\r\nsixteen of sound";
 
 // Every request may be repeated once: a node that has just started has no
 // slack.
