LibNode: Measure the work beside answers, and the members known

Of answers that came late, the logs couldn't tell whether they waited for other work on the event loops, for the holders of their blocks, or since the host knew no peers to share the work with.

Hosts now measure their tasks and how late timers fire, count the messages and bytes of gossip by kind, and tell each other how many members they know. They log a summary every 5 s (109), and when they know far fewer members than a peer does (305, 306). The line of a request says how long its execution took and how late it was cut off, and a holder how long it took for its block.

The tests of gossip share their cluster, in a header of its own.

No logic changed.

--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -47,6 +47,8 @@
   std::vector<uint32_t> wanted_buckets;
   // In a reply: the indices of the message's facts that were known already.
   std::vector<uint32_t> known_facts = {};
+  // How many usable members the sender knows, itself included.
+  size_t member_count = 0;
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -21,6 +21,10 @@
 constexpr size_t kMaxSyncAttempts = 4;
 // Number of a node's first rounds in which it compares all facts.
 constexpr uint64_t kFullSyncRounds = 3;
+// A node that knows less than this share of the members that a peer knows, for
+// this long, can't find the others.
+constexpr double kMinKnownMemberShare = 0.8;
+constexpr base::Duration kMembersMissingDelay = std::chrono::seconds(5);
 
 }  // namespace
 
@@ -146,6 +150,7 @@
     ++rounds_;
   }
   ExpireMembers();
+  CheckMemberCount();
   const std::string target = TakeNextTarget();
   if (!target.empty())
     Probe(target);
@@ -167,6 +172,7 @@
   {
     const std::lock_guard lock(mutex_);
     message.sender_address = self_.peer_address;
+    message.member_count = UsableMemberCount();
     member_count = members_.size() + 1;
     // NOTE: A node compares all facts in its first rounds, so that a new node
     // knows them all after one exchange. Later it does so while it has no
@@ -178,23 +184,25 @@
   if (compares_all_facts)
     message.bucket_hashes = facts_.CurrentBucketHashes();
   std::vector<Fact> rumours = message.facts;
-  transport_.Gossip(address, std::move(message), rules_.probe_timeout,
-                    [weak = weak_from_this(), address,
-                     rumours = std::move(rumours), member_count](auto reply) {
-                      const auto controller = weak.lock();
-                      if (!controller)
-                        return;
-                      if (!reply) {
-                        controller->ProbeIndirectly(address);
-                        return;
-                      }
-                      for (const uint32_t index : reply->known_facts) {
-                        if (index < rumours.size())
-                          controller->facts_.OnKnownByPeer(rumours[index],
-                                                           member_count);
-                      }
-                      controller->OnGossipReply(address, *reply);
-                    });
+  transport_.Gossip(
+      address, std::move(message), rules_.probe_timeout,
+      [weak = weak_from_this(), address, rumours = std::move(rumours),
+       member_count, compares_all_facts](auto reply) {
+        const auto controller = weak.lock();
+        if (!controller)
+          return;
+        if (!reply) {
+          controller->ProbeIndirectly(address);
+          return;
+        }
+        for (const uint32_t index : reply->known_facts) {
+          if (index < rumours.size())
+            controller->facts_.OnKnownByPeer(rumours[index], member_count);
+        }
+        if (compares_all_facts)
+          controller->differing_bucket_count_ = reply->wanted_buckets.size();
+        controller->OnGossipReply(address, *reply);
+      });
 }
 
 // Step 2 of section 3.1: ask k members to probe the member that did not answer.
@@ -350,6 +358,7 @@
 
 void MembershipController::OnGossipReply(const std::string& address,
                                          const GossipMessage& reply) {
+  OnMembersOfPeer(reply.member_count);
   if (reply.wanted_buckets.empty()) {
     AddFacts(reply.facts, FactTable::Spread::kAsRumour);
     return;
@@ -374,9 +383,11 @@
 GossipMessage MembershipController::OnGossip(const GossipMessage& message) {
   GossipMessage reply;
   size_t member_count = 0;
+  OnMembersOfPeer(message.member_count);
   {
     const std::lock_guard lock(mutex_);
     reply.sender_address = self_.peer_address;
+    reply.member_count = UsableMemberCount();
     member_count = members_.size() + 1;
   }
   reply.known_facts = AddFacts(message.facts, message.wanted_buckets.empty()
@@ -392,6 +403,52 @@
   return reply;
 }
 
+size_t MembershipController::UsableMemberCount() const {
+  return static_cast<size_t>(
+             std::ranges::count_if(members_,
+                                   [](const auto& entry) {
+                                     return entry.second.member.is_usable();
+                                   })) +
+         (self_.is_usable() ? 1 : 0);
+}
+
+void MembershipController::OnMembersOfPeer(size_t member_count) {
+  const std::lock_guard lock(mutex_);
+  members_of_peers_.Record(member_count, scheduler_.Now());
+}
+
+size_t MembershipController::MembersOfPeers() {
+  const std::lock_guard lock(mutex_);
+  return members_of_peers_.Max(scheduler_.Now());
+}
+
+void MembershipController::CheckMemberCount() {
+  const base::Instant now = scheduler_.Now();
+  size_t members = 0;
+  size_t members_of_peers = 0;
+  bool is_missing = false;
+  {
+    const std::lock_guard lock(mutex_);
+    members = UsableMemberCount();
+    members_of_peers = members_of_peers_.Max(now);
+    is_missing = static_cast<double>(members) <
+                 kMinKnownMemberShare * static_cast<double>(members_of_peers);
+    if (!is_missing)
+      members_missing_since_.reset();
+    else if (!members_missing_since_)
+      members_missing_since_ = now;
+    const bool is_too_early =
+        is_missing && now - *members_missing_since_ < kMembersMissingDelay;
+    if (is_too_early ||
+        std::exchange(is_members_missing_logged_, is_missing) == is_missing)
+      return;
+  }
+  base::Log(
+      is_missing ? base::Event::kMembersMissing : base::Event::kMembersComplete,
+      {{"members", std::to_string(members)},
+       {"membersOfPeers", std::to_string(members_of_peers)}});
+}
+
 void MembershipController::OnFact(const Fact& fact) {
   const auto member = ToMember(fact);
   if (!member)
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -5,10 +5,12 @@
 #ifndef LIBMEMBERSHIP_MEMBERSHIP_CONTROLLER_H_
 #define LIBMEMBERSHIP_MEMBERSHIP_CONTROLLER_H_
 
+#include <atomic>
 #include <functional>
 #include <map>
 #include <memory>
 #include <mutex>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -17,6 +19,7 @@
 #include "LibMembership/fact_table.h"
 #include "LibMembership/gossip_transport.h"
 #include "LibMembership/member.h"
+#include "LibMembership/recent_max.h"
 
 namespace membership {
 
@@ -77,6 +80,12 @@
   std::vector<Member> Members();
   Member self();
 
+  // Returns the most usable members that a peer said to know in its recent
+  // messages. Zero if no peer said so.
+  size_t MembersOfPeers();
+  // Returns the number of buckets that differed in the last comparison.
+  size_t differing_bucket_count() const { return differing_bucket_count_; }
+
   // Sets a listener that is called after a member is added or its incarnation
   // or state changes, while no lock is held.
   void SetChangeListener(std::function<void()> listener);
@@ -107,6 +116,13 @@
   void Suspect(const std::string& address);
   void ExpireMembers();
   void AnnounceSelf();
+  // Returns the number of usable members, this node included. Requires `mutex_`
+  // to be held.
+  size_t UsableMemberCount() const;
+  void OnMembersOfPeer(size_t member_count);
+  // Logs when this node begins or ceases to know far fewer members than its
+  // peers do.
+  void CheckMemberCount();
 
   const MembershipRules rules_;
   base::Scheduler& scheduler_;
@@ -126,8 +142,14 @@
   std::map<std::string, KnownMember> members_;  // By node id, without self.
   // Peer addresses still to be probed before the list is refilled.
   std::vector<std::string> probe_targets_;
+  RecentMax members_of_peers_;
+  // Set while this node knows far fewer members than its peers do.
+  std::optional<base::Instant> members_missing_since_;
+  bool is_members_missing_logged_ = false;
   uint64_t rounds_ = 0;  // Gossip periods that have begun.
   bool stopped_ = false;
+
+  std::atomic<size_t> differing_bucket_count_{0};
 };
 
 }  // namespace membership
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -49,6 +49,7 @@
 // Delegated work is timed apart from the requests of callers.
 constexpr std::string_view kDelegatedDrainPrefix = "delegated/";
 constexpr base::Duration kHousekeepingPeriod = std::chrono::milliseconds(100);
+constexpr base::Duration kWorkSummaryPeriod = std::chrono::seconds(5);
 // The minimum number of nodes that a server's connections are split among, so
 // that the nodes of an old view and those of a new one together stay within the
 // server's limit.
@@ -105,11 +106,13 @@
     : settings_(std::move(settings)),
       readers_(std::move(readers)),
       dependencies_(std::move(dependencies)),
+      work_meter_(dependencies_.scheduler, metrics_),
       log_line_limiter_(dependencies_.scheduler),
       views_(settings_.self.node_id, {}),
       peer_dispatcher_(dependencies_.scheduler,
                        views_,
                        dependencies_.peer_client),
+      metered_gossip_(peer_dispatcher_, work_meter_, metrics_),
       peer_content_source_(views_,
                            dependencies_.peer_client,
                            settings_.self.node_id,
@@ -124,7 +127,7 @@
           dependencies_.scheduler,
           dependencies_.random,
           facts_,
-          peer_dispatcher_)),
+          metered_gossip_)),
       freshness_gate_(dependencies_.scheduler,
                       [this](std::function<void()> done) {
                         membership_->Synchronize(std::move(done));
@@ -157,7 +160,7 @@
       extra_load_budget_(settings_.extra_load_rules,
                          dependencies_.scheduler,
                          [this] { return UsableNodeCount(); }),
-      upstream_cache_(server_registry_),
+      upstream_cache_(server_registry_, &work_meter_),
       leaf_nodes_(settings_.self.node_id, views_),
       connection_warmer_(
           settings_.self.availability_zone,
@@ -214,6 +217,8 @@
   dependencies_.statements.SetStatementListener(*this);
   membership_->SetChangeListener([this] { RefreshView(); });
   RefreshView();
+  next_housekeeping_ = dependencies_.scheduler.Now();
+  next_work_summary_ = next_housekeeping_ + kWorkSummaryPeriod;
   membership_->Start();
   configuration_follower_->Start();
   registry_follower_->Start();
@@ -221,10 +226,19 @@
 }
 
 void ForwardCore::RefreshView() {
+  const auto span = work_meter_.Measure("refresh_view");
   views_.Update(membership_->Members(), configuration_->Current());
 }
 
 void ForwardCore::RunHousekeeping() {
+  const base::Instant now = dependencies_.scheduler.Now();
+  const auto span = work_meter_.Measure("housekeeping");
+  work_meter_.OnTimer(now - next_housekeeping_);
+  next_housekeeping_ = now + kHousekeepingPeriod;
+  if (now >= next_work_summary_) {
+    next_work_summary_ = now + kWorkSummaryPeriod;
+    LogWorkSummary();
+  }
   freshness_gate_.Tick();
   configuration_->RetryMissingContent();
   connection_warmer_.Run(configuration_->Current());
@@ -233,6 +247,20 @@
                                 [this] { RunHousekeeping(); });
 }
 
+void ForwardCore::LogWorkSummary() {
+  const base::WorkMeter::Summary work = work_meter_.TakeSummary();
+  base::Log(Event::kWorkSummary,
+            {{"maxTimerDelayMs",
+              std::to_string(base::ToMilliseconds(work.max_timer_delay))},
+             {"tasks", work.tasks},
+             {"gossip", metered_gossip_.TakeSummary()},
+             {"facts", std::to_string(facts_.size())},
+             {"members", std::to_string(UsableNodeCount())},
+             {"membersOfPeers", std::to_string(membership_->MembersOfPeers())},
+             {"differingBuckets",
+              std::to_string(membership_->differing_bucket_count())}});
+}
+
 void ForwardCore::OnStoredConfiguration(const platform::StoreEvent& event) {
   if (!event.value)
     return;
@@ -441,6 +469,7 @@
 }
 
 void ForwardCore::ApplyClaim(const upstream::ServerClaim& claim) {
+  const auto span = work_meter_.Measure("apply_claim");
   const upstream::ClaimEffect effect = server_registry_.Apply(claim);
   if (effect != upstream::ClaimEffect::kLeaving)
     return;
@@ -473,10 +502,12 @@
   ++running_request_count_;
   context->respond = [this, respond = std::move(context->respond)](
                          query::ForwardAnswer answer) {
+    const auto span = work_meter_.Measure("respond");
     respond(std::move(answer));
     --running_request_count_;
   };
   freshness_gate_.RunWhenFresh([this, context = std::move(context)]() mutable {
+    const auto span = work_meter_.Measure("begin_request");
     filter_chain_.Run(std::move(context));
   });
 }
@@ -552,6 +583,11 @@
                server_limiter_.limited_server_count()) +
          gauge("celerycroft_running_requests", running_request_count_) +
          gauge("celerycroft_usable_nodes", UsableNodeCount()) +
+         gauge("celerycroft_usable_nodes_of_peers",
+               membership_->MembersOfPeers()) +
+         gauge("celerycroft_facts", facts_.size()) +
+         gauge("celerycroft_differing_fact_buckets",
+               membership_->differing_bucket_count()) +
          gauge("celerycroft_log_lines_dropped_total", base::DroppedLogLines());
 }
 
@@ -599,6 +635,7 @@
     query::LeafRequest request,
     base::Instant deadline,
     std::function<void(query::LeafAnswer)> respond) {
+  const auto span = work_meter_.Measure("begin_delegated");
   const auto configuration = configuration_->Current();
   const config::Route* route =
       configuration->routes && configuration->revision == request.version
@@ -624,6 +661,7 @@
       std::move(request),
       [this, id = *id, top_records,
        respond = std::move(respond)](query::LeafAnswer answer) {
+        const auto span = work_meter_.Measure("respond_delegated");
         request_drain_.OnEnded(id);
         query::LogDelegatedWork(answer, log_line_limiter_);
         query::CompactParts(answer, top_records);
@@ -647,6 +685,7 @@
 
 membership::GossipMessage ForwardCore::Gossip(
     const membership::GossipMessage& message) {
+  const auto span = work_meter_.Measure("answer_gossip");
   return membership_->OnGossip(message);
 }
 
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -16,10 +16,12 @@
 #include "LibBase/metrics.h"
 #include "LibBase/random.h"
 #include "LibBase/scheduler.h"
+#include "LibBase/work_meter.h"
 #include "LibMembership/membership_controller.h"
 #include "LibNode/cluster_leaf_nodes.h"
 #include "LibNode/connection_warmer.h"
 #include "LibNode/freshness_gate.h"
+#include "LibNode/metered_gossip.h"
 #include "LibNode/peer_adapters.h"
 #include "LibPeer/handler.h"
 #include "LibPeer/peer_client.h"
@@ -174,6 +176,7 @@
                         std::function<void(query::LeafAnswer)> respond);
   void RefreshView();
   void RunHousekeeping();
+  void LogWorkSummary();
   // Returns how many connections this node may open to one server of the
   // upstream.
   int MaxConnectionsPerServer(const config::Upstream& upstream);
@@ -183,10 +186,12 @@
   const StoreEntryReaders readers_;
   const ForwardDependencies dependencies_;
   base::Metrics metrics_;
+  base::WorkMeter work_meter_;
   query::LogLineLimiter log_line_limiter_;
 
   routing::ClusterViewController views_;
   PeerDispatcher peer_dispatcher_;
+  MeteredGossip metered_gossip_;
   PeerContentSource peer_content_source_;
   std::shared_ptr<platform::ConfigurationController> configuration_;
   membership::FactTable facts_;
@@ -223,6 +228,11 @@
   // by `demand_mutex_`.
   membership::FactVersion own_demand_version_;
 
+  // When housekeeping is due, and when the next summary of work is. Used by
+  // housekeeping only.
+  base::Instant next_housekeeping_;
+  base::Instant next_work_summary_;
+
   // When the current configuration took effect.
   std::atomic<base::Instant> configuration_in_force_since_{};
   std::atomic<size_t> running_request_count_{0};
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -156,6 +156,7 @@
   out.setPrimary(value.load.primary);
   out.setHedges(value.load.hedges);
   out.setRetries(value.load.retries);
+  out.setTookUs(value.took.count());
   auto parts = out.initParts(static_cast<uint32_t>(value.parts.size()));
   for (uint32_t i = 0; i < value.parts.size(); ++i) {
     parts[i].setService(value.parts[i].service);
@@ -174,6 +175,7 @@
     value.missing.push_back(
         {missing.getShard(), ToMissingReason(missing.getReason())});
   value.load = {in.getPrimary(), in.getHedges(), in.getRetries()};
+  value.took = base::Duration(in.getTookUs());
   for (const auto part : in.getParts()) {
     auto reply = std::make_shared<upstream::ForwardedReply>();
     reply->signature = ToString(part.getSignature());
@@ -201,6 +203,7 @@
   CopyNumbers(
       value.known_facts,
       out.initKnownFacts(static_cast<uint32_t>(value.known_facts.size())));
+  out.setMemberCount(static_cast<uint32_t>(value.member_count));
 }
 
 membership::GossipMessage Decode(wire::GossipMessage::Reader in) {
@@ -216,6 +219,7 @@
     value.wanted_buckets.push_back(bucket);
   for (const uint32_t index : in.getKnownFacts())
     value.known_facts.push_back(index);
+  value.member_count = in.getMemberCount();
   return value;
 }
 
--- a/Libraries/LibPeer/peer.capnp
+++ b/Libraries/LibPeer/peer.capnp
@@ -67,6 +67,7 @@
   hedges @5 :UInt64;
   retries @6 :UInt64;
   parts @7 :List(ForwardedPart);  # Replaces `results` for forwarded requests.
+  tookUs @8 :Int64;  # From the arrival of the request to the answer.
 }
 
 struct Fact {
@@ -82,6 +83,7 @@
   bucketHashes @2 :List(UInt64);
   wantedBuckets @3 :List(UInt32);
   knownFacts @4 :List(UInt32);
+  memberCount @5 :UInt32;
 }
 
 struct Booking {
--- a/Libraries/LibPeer/peer.capnp.h
+++ b/Libraries/LibPeer/peer.capnp.h
@@ -171,7 +171,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(a2d33c76de106d2c, 4, 4)
+    CAPNP_DECLARE_STRUCT_HEADER(a2d33c76de106d2c, 5, 4)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -201,7 +201,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc6ebb232438e428, 0, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fc6ebb232438e428, 1, 5)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1341,6 +1341,8 @@
   inline bool hasParts() const;
   inline  ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>::Reader getParts() const;
 
+  inline  ::int64_t getTookUs() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1409,6 +1411,9 @@
   inline void adoptParts(::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::peer::wire::ForwardedPart,  ::capnp::Kind::STRUCT>> disownParts();
 
+  inline  ::int64_t getTookUs();
+  inline void setTookUs( ::int64_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -1568,6 +1573,8 @@
   inline bool hasKnownFacts() const;
   inline  ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>::Reader getKnownFacts() const;
 
+  inline  ::uint32_t getMemberCount() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1634,6 +1641,9 @@
   inline void adoptKnownFacts(::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>>&& value);
   inline ::capnp::Orphan< ::capnp::List< ::uint32_t,  ::capnp::Kind::PRIMITIVE>> disownKnownFacts();
 
+  inline  ::uint32_t getMemberCount();
+  inline void setMemberCount( ::uint32_t value);
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4538,6 +4548,20 @@
       ::capnp::bounded<3>() * ::capnp::POINTERS));
 }
 
+inline  ::int64_t LeafAnswer::Reader::getTookUs() const {
+  return _reader.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+
+inline  ::int64_t LeafAnswer::Builder::getTookUs() {
+  return _builder.getDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS);
+}
+inline void LeafAnswer::Builder::setTookUs( ::int64_t value) {
+  _builder.setDataField< ::int64_t>(
+      ::capnp::bounded<4>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Fact::Reader::hasKey() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
@@ -4816,6 +4840,20 @@
       ::capnp::bounded<4>() * ::capnp::POINTERS));
 }
 
+inline  ::uint32_t GossipMessage::Reader::getMemberCount() const {
+  return _reader.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+
+inline  ::uint32_t GossipMessage::Builder::getMemberCount() {
+  return _builder.getDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS);
+}
+inline void GossipMessage::Builder::setMemberCount( ::uint32_t value) {
+  _builder.setDataField< ::uint32_t>(
+      ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
+}
+
 inline bool Booking::Reader::hasParty() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Libraries/LibQuery/forward_context.h
+++ b/Libraries/LibQuery/forward_context.h
@@ -77,6 +77,9 @@
   SubRequestCounts load;
   std::vector<AttemptRecord> attempts;
   std::vector<MissingShard> missing;
+  // Same as LeafAnswer::took and objective_overrun. Set like `load`.
+  base::Duration execution_took{};
+  base::Duration objective_overrun{};
 
   void Refuse(ForwardOutcome outcome,
               base::ErrorKind kind,
--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -150,6 +150,8 @@
         context->load = answer.load;
         context->attempts = std::move(answer.attempts);
         context->missing = answer.missing;
+        context->execution_took = answer.took;
+        context->objective_overrun = answer.objective_overrun;
         context->respond(ToForwardAnswer(*context->route, std::move(answer)));
       });
   if (context->cancellation)
--- a/Libraries/LibQuery/forward_log.cc
+++ b/Libraries/LibQuery/forward_log.cc
@@ -173,7 +173,9 @@
       {"request", context.request->id},
       {"outcome", std::string(ForwardOutcomeName(answer.outcome))},
       {"tookMs", FormatMilliseconds(took)},
-      {"transitMs", FormatMilliseconds(context.transit)}};
+      {"transitMs", FormatMilliseconds(context.transit)},
+      {"executionMs", FormatMilliseconds(context.execution_took)},
+      {"overrunMs", FormatMilliseconds(context.objective_overrun)}};
   if (answer.error)
     fields.push_back({"reason", answer.error->message()});
   if (context.time_allowed)
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -102,7 +102,8 @@
         answer && IsValidDelegatedAnswer(*answer, delegated_request);
     attempt_recorder_.OnDelegationEnd(
         work, Now(),
-        answer ? std::to_string(answer->parts.size()) + " answered"
+        answer ? std::to_string(answer->parts.size()) + " answered in " +
+                     std::to_string(answer->took.count()) + " us"
                : answer.error().message());
     const bool was_called = !is_valid || answer->load.sent() > 0;
     if (is_valid)
@@ -563,6 +564,9 @@
   dependencies_->scheduler.Cancel(objective_timer_);
   dependencies_->scheduler.Cancel(hedge_check_timer_);
   answer_.attempts = attempt_recorder_.TakeRecords();
+  answer_.took = Now() - started_;
+  if (request_.forward && is_objective_reached_)
+    answer_.objective_overrun = answer_.took - request_.forward->objective;
   return {std::exchange(callback_, nullptr), std::move(answer_)};
 }
 
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -157,6 +157,11 @@
   upstream::ForwardedReplyPtr failed_reply = nullptr;
   RunState run_state = RunState::kNotRun;
   std::vector<AttemptRecord> attempts = {};
+  // How long the execution took.
+  base::Duration took{};
+  // How much later than the request's objective it was completed; zero if all
+  // services were done before.
+  base::Duration objective_overrun{};
   // When servers that were held back may be called again. Not passed on to
   // other nodes.
   base::Duration retry_after{};
--- a/Libraries/LibQuery/route_upstream_cache.cc
+++ b/Libraries/LibQuery/route_upstream_cache.cc
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <limits>
+#include <optional>
 
 namespace query {
 
@@ -27,6 +28,9 @@
 UpstreamPtr RouteUpstreamCache::BuildUpstream(
     const config::Configuration& configuration,
     const std::vector<std::string>& services) const {
+  std::optional<base::WorkMeter::Span> span;
+  if (work_meter_)
+    span.emplace(*work_meter_, "build_upstream");
   config::Upstream upstream;
   upstream.connections = std::numeric_limits<int>::max();
   upstream.slots = std::numeric_limits<int>::max();
--- a/Libraries/LibQuery/route_upstream_cache.h
+++ b/Libraries/LibQuery/route_upstream_cache.h
@@ -9,6 +9,7 @@
 #include <string>
 #include <vector>
 
+#include "LibBase/work_meter.h"
 #include "LibConfig/configuration.h"
 #include "LibQuery/leaf_executor.h"
 #include "LibUpstream/server_registry.h"
@@ -18,8 +19,10 @@
 // Keeps the built upstreams until the configuration or the registry changes.
 class RouteUpstreamCache {
  public:
-  explicit RouteUpstreamCache(const upstream::ServerRegistry& registry)
-      : registry_(registry) {}
+  // `work_meter` measures the building; null measures nothing.
+  explicit RouteUpstreamCache(const upstream::ServerRegistry& registry,
+                              base::WorkMeter* work_meter = nullptr)
+      : registry_(registry), work_meter_(work_meter) {}
 
   // Returns an upstream that consists of the named services, in their order.
   UpstreamPtr UpstreamFor(const config::ConfigurationPtr& configuration,
@@ -30,6 +33,7 @@
                             const std::vector<std::string>& services) const;
 
   const upstream::ServerRegistry& registry_;
+  base::WorkMeter* const work_meter_;
   std::mutex mutex_;
   // All members below are guarded by `mutex_`.
   std::map<std::vector<std::string>, UpstreamPtr> upstreams_by_services_;
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -11,6 +11,7 @@
 #include <vector>
 
 #include "Fakes/virtual_scheduler.h"
+#include "LibMembership/gossip_cluster.h"
 #include "LibMembership/member_codec.h"
 
 namespace membership {
@@ -54,14 +55,6 @@
   base::Scheduler& scheduler_;
 };
 
-Member MakeMember(const std::string& id) {
-  Member member;
-  member.node_id = id;
-  member.peer_address = id + ":8082";
-  member.incarnation = 1;
-  return member;
-}
-
 TEST_CASE("a member is reported as suspected before it is reported as dead") {
   fakes::VirtualScheduler scheduler;
   base::SeededRandom random(1);
@@ -92,68 +85,6 @@
                                        MemberState::kDead});
 }
 
-// Nodes that reach each other at once, and the facts that they send.
-class Cluster {
- public:
-  explicit Cluster(size_t node_count) {
-    for (size_t i = 0; i < node_count; ++i)
-      nodes_.push_back(std::make_unique<Node>(*this, i));
-    for (auto& node : nodes_)
-      node->controller->Start();
-  }
-
-  FactTable& facts(size_t node) { return nodes_[node]->facts; }
-  size_t node_count() const { return nodes_.size(); }
-  // Returns how many nodes know at least `count` facts.
-  size_t CountNodesWith(size_t count) {
-    return static_cast<size_t>(std::ranges::count_if(
-        nodes_, [&](auto& node) { return node->facts.size() >= count; }));
-  }
-
-  fakes::VirtualScheduler scheduler;
-  uint64_t sent_facts = 0;
-
- private:
-  struct Node final : public GossipTransport {
-    Node(Cluster& owner, size_t index)
-        : cluster(owner),
-          random(index + 1),
-          controller(MembershipController::Create(
-              MakeMember("n" + std::to_string(index)),
-              {"n0:8082"},
-              {},
-              owner.scheduler,
-              random,
-              facts,
-              *this)) {}
-
-    void Gossip(const std::string& peer_address,
-                GossipMessage message,
-                base::Duration,
-                GossipCallback callback) override {
-      const auto peer =
-          std::ranges::find_if(cluster.nodes_, [&](const auto& node) {
-            return node->controller->self().peer_address == peer_address;
-          });
-      cluster.sent_facts += message.facts.size();
-      const GossipMessage reply = (*peer)->controller->OnGossip(message);
-      cluster.sent_facts += reply.facts.size();
-      callback(reply);
-    }
-    void ProbeVia(const std::string&,
-                  const std::string&,
-                  base::Duration,
-                  ProbeCallback) override {}
-
-    Cluster& cluster;
-    base::SeededRandom random;
-    FactTable facts;
-    std::shared_ptr<MembershipController> controller;
-  };
-
-  std::vector<std::unique_ptr<Node>> nodes_;
-};
-
 constexpr size_t kNodes = 60;
 constexpr size_t kNewFacts = 200;
 // A push epidemic that stops at the second peer that knew a fact sends it 2.8
@@ -163,7 +94,8 @@
 // The load pattern: an index change starts hundreds of servers at once, and the
 // news of all of them has to reach every node over thin links.
 TEST_CASE("many new facts reach every node with few sends each") {
-  Cluster cluster(kNodes);
+  GossipCluster cluster(kNodes);
+  cluster.Start();
   cluster.scheduler.RunFor(std::chrono::seconds(10));
   REQUIRE(cluster.CountNodesWith(kNodes) == kNodes);
   cluster.sent_facts = 0;
@@ -175,6 +107,22 @@
   CHECK(cluster.sent_facts <= kMaxSendsPerNode * kNodes * kNewFacts);
 }
 
+TEST_CASE("a node tells how many members its peers know") {
+  fakes::VirtualScheduler scheduler;
+  base::SeededRandom random(1);
+  FakeGossipTransport transport(scheduler);
+  FactTable facts;
+  const auto controller =
+      MembershipController::Create(MakeMember("self"), {"peer:8082"}, {},
+                                   scheduler, random, facts, transport);
+  transport.reply.member_count = kNodes;
+  controller->Start();
+  CHECK(controller->MembersOfPeers() == kNodes);
+  transport.reply.member_count = 1;
+  scheduler.RunFor(2 * RecentMax::kPeriod + std::chrono::seconds(1));
+  CHECK(controller->MembersOfPeers() == 1);
+}
+
 TEST_CASE("a comparison of facts sends nothing back and spreads nothing") {
   fakes::VirtualScheduler scheduler;
   base::SeededRandom random(1);
