LibMembership: Ignore gossip that arrives before the node has started

A host that was still starting could miss another host for good: it answered gossip as soon as it listened, but the listeners of the fact table are added later. A fact that came in between counted as known, so that no listener was ever told of it. The member was missing until its process ended; a claim of a server as well.

The membership controller now answers gossip before its start with an empty message, which its peers repeat with the next comparison. All listeners are added before that.

The test of this failed without the change (1 of 2 nodes knew both).

--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -61,6 +61,10 @@
     if (const auto controller = weak.lock())
       controller->OnFact(fact);
   });
+  {
+    const std::lock_guard lock(mutex_);
+    is_started_ = true;
+  }
   AnnounceSelf();
   RunRound();
 }
@@ -383,13 +387,17 @@
 GossipMessage MembershipController::OnGossip(const GossipMessage& message) {
   GossipMessage reply;
   size_t member_count = 0;
-  OnMembersOfPeer(message.member_count);
   {
     const std::lock_guard lock(mutex_);
+    // A fact that is added before there are listeners would count as known, and
+    // none of them would ever be told of it.
+    if (!is_started_)
+      return reply;
     reply.sender_address = self_.peer_address;
     reply.member_count = UsableMemberCount();
     member_count = members_.size() + 1;
   }
+  OnMembersOfPeer(message.member_count);
   reply.known_facts = AddFacts(message.facts, message.wanted_buckets.empty()
                                                   ? FactTable::Spread::kAsRumour
                                                   : FactTable::Spread::kNone);
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -59,6 +59,7 @@
       FactTable& facts,
       GossipTransport& transport);
 
+  // All listeners of the fact table must have been added before.
   void Start();
   void Stop();
 
@@ -70,7 +71,7 @@
   // is no peer to try.
   void Synchronize(std::function<void()> done);
 
-  // Handles a peer's gossip and returns the reply.
+  // Handles a peer's gossip and returns the reply. Ignores it before Start().
   GossipMessage OnGossip(const GossipMessage& message);
 
   // Adds peer addresses to probe besides those of the known members.
@@ -147,6 +148,7 @@
   std::optional<base::Instant> members_missing_since_;
   bool is_members_missing_logged_ = false;
   uint64_t rounds_ = 0;  // Gossip periods that have begun.
+  bool is_started_ = false;
   bool stopped_ = false;
 
   std::atomic<size_t> differing_bucket_count_{0};
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -123,6 +123,15 @@
   CHECK(controller->MembersOfPeers() == 1);
 }
 
+TEST_CASE("a member that gossips before a node has started is not lost") {
+  GossipCluster cluster(2, 2);
+  cluster.controller(0).Start();
+  cluster.scheduler.RunFor(std::chrono::seconds(1));
+  cluster.controller(1).Start();
+  cluster.scheduler.RunFor(std::chrono::seconds(1));
+  CHECK(cluster.CountNodesWithAllMembers() == 2);
+}
+
 TEST_CASE("a comparison of facts sends nothing back and spreads nothing") {
   fakes::VirtualScheduler scheduler;
   base::SeededRandom random(1);
