LibMembership: Don't compare facts with the node itself

A host that is a seed could resume after a pause with outdated knowledge: it compares all facts with a peer first, and itself was among the peers to choose from, since only the list for probes left it out. Among up to four addresses it was asked first. The host then counted as fresh, and could for instance call a server that had begun to leave.

The test failed without the change (the node asked itself).

--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -314,7 +314,8 @@
         addresses.push_back(known.member.peer_address);
     }
     for (const std::string& seed : seeds_) {
-      if (std::ranges::find(addresses, seed) == addresses.end())
+      if (seed != self_.peer_address &&
+          std::ranges::find(addresses, seed) == addresses.end())
         addresses.push_back(seed);
     }
     base::KeepSample(addresses, kMaxSyncAttempts, random_);
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -7,6 +7,7 @@
 
 #include <algorithm>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -25,11 +26,12 @@
   explicit FakeGossipTransport(base::Scheduler& scheduler)
       : scheduler_(scheduler) {}
 
-  void Gossip(const std::string&,
+  void Gossip(const std::string& peer_address,
               GossipMessage message,
               base::Duration timeout,
               GossipCallback callback) override {
     sent_facts += message.facts.size();
+    asked_peers.insert(peer_address);
     if (peers_answer) {
       callback(reply);
       return;
@@ -50,6 +52,7 @@
   bool peers_answer = true;
   GossipMessage reply;  // Of peers that answer.
   size_t sent_facts = 0;
+  std::set<std::string> asked_peers;
 
  private:
   base::Scheduler& scheduler_;
@@ -132,6 +135,19 @@
   CHECK(cluster.CountNodesWithAllMembers() == 2);
 }
 
+TEST_CASE("a seed does not compare facts with itself") {
+  fakes::VirtualScheduler scheduler;
+  base::SeededRandom random(1);
+  FakeGossipTransport transport(scheduler);
+  FactTable facts;
+  const auto controller = MembershipController::Create(
+      MakeMember("self"), {"peer:8082", "self:8082"}, {}, scheduler, random,
+      facts, transport);
+  for (int i = 0; i < 20; ++i)
+    controller->Synchronize([] {});
+  CHECK(transport.asked_peers == std::set<std::string>{"peer:8082"});
+}
+
 TEST_CASE("a comparison of facts sends nothing back and spreads nothing") {
   fakes::VirtualScheduler scheduler;
   base::SeededRandom random(1);
