LibMembership: Compare facts by their versions, and send only what differs

After a restart of all 118 hosts of a large installation, hosts didn't find each other (51 of 13,806 joins).

Cause: a comparison of facts sent the facts of all buckets that differ, in the order of their keys, up to 64 KB. Where the claims of servers filled that page, each comparison sent the same claims again, and what comes after them, like members, never. As all buckets differ by some fact, the page was always full. The class of fault: a bounded page that begins at the same end each time, so that what is left out is always the same. Rumours that were sent equally often went in the order of their keys too, within 8 KB.

Comparisons now narrow down what differs in two steps, by hashes of the 32 buckets and of the 1,024 parts, then by the versions of the facts in these parts, and send only what one side lacks, so that each message makes progress and what is equal costs nothing. Members, and facts whose prefixes are named as urgent, go first, but leave half of a page to others; the rest of a page is in random order, rumours in the order of their age. Parts whose summaries don't fit are taken in turn. Messages of earlier versions are still understood.

--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -29,26 +29,50 @@
   auto operator<=>(const Fact&) const = default;
 };
 
-// Each fact belongs to one bucket, which the hash of its key determines. Two
-// nodes compare one hash per bucket to find out which of their facts differ.
+// Each fact belongs to one part of one bucket, which the hash of its key
+// determines: part `p` is in bucket `p % kFactBucketCount`. Two nodes compare a
+// hash for each bucket, then one for each part of the buckets that differ, and
+// then the summaries of the facts in the parts that differ.
 inline constexpr size_t kFactBucketCount = 32;
+inline constexpr size_t kPartsPerBucket = 32;
+inline constexpr size_t kFactPartCount = kFactBucketCount * kPartsPerBucket;
 // Has kFactBucketCount elements or none.
 using BucketHashes = std::vector<uint64_t>;
 
+// Names a fact without its key and value.
+struct FactSummary {
+  uint64_t key_hash = 0;
+  FactVersion version;
+
+  auto operator<=>(const FactSummary&) const = default;
+};
+
+// A message spreads rumours, or is one of the three steps of a comparison of
+// all facts. Each step may also find that there is nothing left to do:
+//   1. `bucket_hashes`. The reply has `wanted_buckets` and their `part_hashes`.
+//   2. `compared_parts` and `summaries`. The reply has the `facts` that its
+//      receiver lacks, and `wanted_facts`.
+//   3. `facts` and, as an echo, `wanted_facts`.
 struct GossipMessage {
   std::string sender_address;  // The sender's peer address.
   std::vector<Fact> facts;
   // Hashes of the sender's buckets, sent while it has no rumours to spread, to
-  // find the facts that rumours missed. The receiver replies with its facts
-  // from the buckets that differ, and with the numbers of these buckets.
+  // find the facts that rumours missed.
   BucketHashes bucket_hashes;
-  // In a reply: the buckets whose facts the receiver of the hashes asks for. In
-  // a message that answers such a reply: the buckets that `facts` are from.
+  // The buckets that differ.
   std::vector<uint32_t> wanted_buckets;
   // In a reply: the indices of the message's facts that were known already.
   std::vector<uint32_t> known_facts = {};
   // How many usable members the sender knows, itself included.
   size_t member_count = 0;
+  // The hashes of all parts of `wanted_buckets`, kPartsPerBucket for each.
+  std::vector<uint64_t> part_hashes = {};
+  // Parts that differ, and the sender's facts in them.
+  std::vector<uint32_t> compared_parts = {};
+  std::vector<FactSummary> summaries = {};
+  // Hashes of the keys of facts that the replier lacks or has in an older
+  // version.
+  std::vector<uint64_t> wanted_facts = {};
 
   bool operator==(const GossipMessage&) const = default;
 };
--- a/Libraries/LibMembership/fact_table.cc
+++ b/Libraries/LibMembership/fact_table.cc
@@ -1,21 +1,28 @@
-// Rumour mongering with feedback and a bounded number of sends, and bucket
-// hashes for anti-entropy (Demers et al., "Epidemic algorithms for replicated
-// database maintenance", 1987, sections 1.3 and 1.4).
+// Rumour mongering with feedback and a bounded number of sends, and
+// anti-entropy by hashes (Demers et al., "Epidemic algorithms for replicated
+// database maintenance", 1987, sections 1.3 and 1.4). The hashes form a tree of
+// two levels (Merkle, "A digital signature based on a conventional encryption
+// function", 1987), whose leaves are compared by the versions of their facts,
+// so that only facts that differ are sent.
 
 #include "LibMembership/fact_table.h"
 
 #include <algorithm>
 #include <bit>
+#include <iterator>
+#include <unordered_map>
+#include <unordered_set>
 #include <utility>
 
 #include "LibBase/random.h"
+#include "LibMembership/member_codec.h"
 
 namespace membership {
 
 namespace {
 
 // Added to the logarithm of the member count. Members that a fact does not
-// reach with this number of sends get it by the comparison of bucket hashes.
+// reach with this number of sends get it by a comparison.
 constexpr uint32_t kExtraSendsPerFact = 1;
 // A peer that knew a fact already counts as this many further sends. Most peers
 // know a fact once two of them did.
@@ -26,8 +33,8 @@
          static_cast<uint32_t>(std::bit_width(member_count));
 }
 
-uint32_t BucketOf(std::string_view key) {
-  return static_cast<uint32_t>(base::StableHash(key) % kFactBucketCount);
+uint32_t PartOf(uint64_t key_hash) {
+  return static_cast<uint32_t>(key_hash % kFactPartCount);
 }
 
 // Hashes the key and the version, not the value.
@@ -42,71 +49,122 @@
 
 }  // namespace
 
+FactTable::FactTable(std::vector<std::string> urgent_prefixes)
+    : urgent_prefixes_(std::move(urgent_prefixes)) {}
+
 void FactTable::AddListener(Listener listener) {
   listeners_.push_back(std::move(listener));
 }
 
+bool FactTable::IsUrgent(std::string_view key) const {
+  return key.starts_with(kMemberFactPrefix) ||
+         std::ranges::any_of(urgent_prefixes_, [&](const std::string& prefix) {
+           return key.starts_with(prefix);
+         });
+}
+
 bool FactTable::AddIfNewer(const Fact& fact, Spread spread) {
+  const uint64_t key_hash = base::StableHash(fact.key);
   {
     const std::lock_guard lock(mutex_);
     const auto found = facts_.find(fact.key);
-    if (found != facts_.end() && found->second.version >= fact.version)
+    if (found != facts_.end() && found->second.fact.version >= fact.version)
       return false;
+    uint64_t& part_hash = part_hashes_[PartOf(key_hash)];
     if (found != facts_.end())
-      hashes_[BucketOf(fact.key)] ^= HashOf(found->second);
-    hashes_[BucketOf(fact.key)] ^= HashOf(fact);
-    facts_.insert_or_assign(fact.key, fact);
+      part_hash ^= HashOf(found->second.fact);
+    part_hash ^= HashOf(fact);
+    facts_.insert_or_assign(fact.key,
+                            Entry{fact, key_hash, IsUrgent(fact.key)});
     if (spread == Spread::kAsRumour)
-      send_counts_[fact.key] = 0;
+      rumours_[fact.key] = {0, next_rumour_number_++};
   }
   for (const Listener& listener : listeners_)
     listener(fact);
   return true;
 }
 
+std::vector<const FactTable::Entry*> FactTable::FillPage(
+    std::vector<Candidate> candidates,
+    size_t max_bytes) {
+  std::ranges::sort(candidates, {}, &Candidate::order);
+  const auto others = std::ranges::stable_partition(
+      candidates,
+      [](const Candidate& candidate) { return candidate.entry->is_urgent; });
+  std::vector<const Entry*> page;
+  size_t bytes = 0;
+  // Adds the candidates from `next` on up to `limit`, and returns the first one
+  // that did not fit.
+  const auto add = [&](auto next, auto end, size_t limit) {
+    for (; next != end; ++next) {
+      const size_t size = SizeInBytes(next->entry->fact);
+      if (bytes + size > limit && !page.empty())
+        break;
+      bytes += size;
+      page.push_back(next->entry);
+    }
+    return next;
+  };
+  const auto left = add(candidates.begin(), others.begin(),
+                        others.empty() ? max_bytes : max_bytes / 2);
+  add(others.begin(), others.end(), max_bytes);
+  add(left, others.begin(), max_bytes);
+  return page;
+}
+
+std::vector<Fact> FactTable::FillPage(const std::vector<const Entry*>& entries,
+                                      size_t max_bytes,
+                                      uint64_t seed) {
+  std::vector<Candidate> candidates;
+  for (const Entry* entry : entries)
+    candidates.push_back({entry, {base::Mix(entry->key_hash ^ seed), 0}});
+  std::vector<Fact> page;
+  std::ranges::transform(FillPage(std::move(candidates), max_bytes),
+                         std::back_inserter(page),
+                         [](const Entry* entry) { return entry->fact; });
+  return page;
+}
+
 std::vector<Fact> FactTable::TakeRumours(size_t max_bytes,
                                          size_t member_count) {
   const uint32_t max_sends = MaxSends(member_count);
   const std::lock_guard lock(mutex_);
-  std::vector<std::pair<uint32_t, std::string>> candidates;
-  for (const auto& [key, send_count] : send_counts_)
-    candidates.emplace_back(send_count, key);
-  std::ranges::sort(candidates);
-  std::vector<Fact> rumours;
-  size_t bytes = 0;
-  for (const auto& [send_count, key] : candidates) {
-    const Fact& fact = facts_.find(key)->second;
-    if (bytes + SizeInBytes(fact) > max_bytes && !rumours.empty())
-      break;
-    bytes += SizeInBytes(fact);
-    rumours.push_back(fact);
-    if (send_count + 1 >= max_sends)
-      send_counts_.erase(key);
-    else
-      send_counts_[key] = send_count + 1;
+  std::vector<Candidate> candidates;
+  for (const auto& [key, rumour] : rumours_)
+    candidates.push_back(
+        {&facts_.find(key)->second, {rumour.send_count, rumour.number}});
+  std::vector<Fact> taken;
+  for (const Entry* entry : FillPage(std::move(candidates), max_bytes)) {
+    taken.push_back(entry->fact);
+    const auto rumour = rumours_.find(entry->fact.key);
+    if (++rumour->second.send_count >= max_sends)
+      rumours_.erase(rumour);
   }
-  return rumours;
+  return taken;
 }
 
 void FactTable::OnKnownByPeer(const Fact& fact, size_t member_count) {
   const std::lock_guard lock(mutex_);
-  const auto send_count = send_counts_.find(fact.key);
-  if (send_count == send_counts_.end() ||
-      facts_.find(fact.key)->second.version != fact.version)
+  const auto rumour = rumours_.find(fact.key);
+  if (rumour == rumours_.end() ||
+      facts_.find(fact.key)->second.fact.version != fact.version)
     return;
-  send_count->second += kSendsPerKnownFact;
-  if (send_count->second >= MaxSends(member_count))
-    send_counts_.erase(send_count);
+  rumour->second.send_count += kSendsPerKnownFact;
+  if (rumour->second.send_count >= MaxSends(member_count))
+    rumours_.erase(rumour);
 }
 
 bool FactTable::has_rumours() {
   const std::lock_guard lock(mutex_);
-  return !send_counts_.empty();
+  return !rumours_.empty();
 }
 
 BucketHashes FactTable::CurrentBucketHashes() {
+  BucketHashes hashes(kFactBucketCount, 0);
   const std::lock_guard lock(mutex_);
-  return hashes_;
+  for (size_t part = 0; part < kFactPartCount; ++part)
+    hashes[part % kFactBucketCount] ^= part_hashes_[part];
+  return hashes;
 }
 
 std::vector<uint32_t> FactTable::DifferingBuckets(const BucketHashes& theirs) {
@@ -120,28 +178,101 @@
   return buckets;
 }
 
-std::vector<Fact> FactTable::FactsInBuckets(
+std::vector<uint64_t> FactTable::PartHashes(
+    const std::vector<uint32_t>& buckets) {
+  std::vector<uint64_t> hashes;
+  const std::lock_guard lock(mutex_);
+  for (const uint32_t bucket : buckets) {
+    for (size_t i = 0; i < kPartsPerBucket; ++i)
+      hashes.push_back(
+          part_hashes_[bucket % kFactBucketCount + i * kFactBucketCount]);
+  }
+  return hashes;
+}
+
+std::vector<uint32_t> FactTable::DifferingParts(
     const std::vector<uint32_t>& buckets,
-    size_t max_bytes,
-    const std::vector<Fact>& excluded) {
-  std::map<std::string_view, FactVersion> excluded_versions;
-  for (const Fact& fact : excluded)
-    excluded_versions[fact.key] = fact.version;
+    const std::vector<uint64_t>& theirs) {
+  const std::vector<uint64_t> ours = PartHashes(buckets);
+  if (theirs.size() != ours.size())
+    return {};
+  std::vector<uint32_t> parts;
+  for (size_t i = 0; i < ours.size(); ++i) {
+    if (ours[i] != theirs[i])
+      parts.push_back(
+          buckets[i / kPartsPerBucket] % kFactBucketCount +
+          static_cast<uint32_t>(i % kPartsPerBucket * kFactBucketCount));
+  }
+  return parts;
+}
+
+PartSummaries FactTable::Summarize(const std::vector<uint32_t>& parts,
+                                   size_t max_facts,
+                                   uint64_t start) {
+  PartSummaries result;
+  if (parts.empty())
+    return result;
+  std::unordered_map<uint32_t, std::vector<FactSummary>> by_part;
+  for (const uint32_t part : parts)
+    by_part[part];
+  {
+    const std::lock_guard lock(mutex_);
+    for (const auto& [key, entry] : facts_) {
+      const auto found = by_part.find(PartOf(entry.key_hash));
+      if (found != by_part.end())
+        found->second.push_back({entry.key_hash, entry.fact.version});
+    }
+  }
+  for (size_t i = 0; i < parts.size(); ++i) {
+    const uint32_t part = parts[(start + i) % parts.size()];
+    const std::vector<FactSummary>& facts = by_part[part];
+    if (!result.parts.empty() && result.facts.size() + facts.size() > max_facts)
+      break;
+    result.parts.push_back(part);
+    std::ranges::copy(facts, std::back_inserter(result.facts));
+  }
+  return result;
+}
+
+FactDifference FactTable::Compare(const PartSummaries& theirs,
+                                  size_t max_bytes,
+                                  uint64_t seed) {
+  const std::unordered_set<uint32_t> parts(theirs.parts.begin(),
+                                           theirs.parts.end());
+  std::unordered_map<uint64_t, FactVersion> outdated;
+  for (const FactSummary& fact : theirs.facts)
+    outdated[fact.key_hash] = fact.version;
+  FactDifference difference;
   const std::lock_guard lock(mutex_);
-  std::vector<Fact> facts;
-  size_t bytes = 0;
-  for (const auto& [key, fact] : facts_) {
-    if (std::ranges::find(buckets, BucketOf(key)) == buckets.end())
+  std::vector<const Entry*> newer;
+  for (const auto& [key, entry] : facts_) {
+    if (!parts.contains(PartOf(entry.key_hash)))
       continue;
-    const auto found = excluded_versions.find(key);
-    if (found != excluded_versions.end() && found->second == fact.version)
-      continue;
-    bytes += SizeInBytes(fact);
-    if (bytes > max_bytes)
-      break;
-    facts.push_back(fact);
+    const auto found = outdated.find(entry.key_hash);
+    if (found == outdated.end() || found->second < entry.fact.version)
+      newer.push_back(&entry);
+    if (found != outdated.end() && found->second <= entry.fact.version)
+      outdated.erase(found);
   }
-  return facts;
+  for (const auto& [key_hash, version] : outdated)
+    difference.outdated.push_back(key_hash);
+  difference.newer = FillPage(newer, max_bytes, seed);
+  return difference;
+}
+
+std::vector<Fact> FactTable::WithKeyHashes(
+    const std::vector<uint64_t>& key_hashes,
+    size_t max_bytes,
+    uint64_t seed) {
+  const std::unordered_set<uint64_t> wanted(key_hashes.begin(),
+                                            key_hashes.end());
+  const std::lock_guard lock(mutex_);
+  std::vector<const Entry*> found;
+  for (const auto& [key, entry] : facts_) {
+    if (wanted.contains(entry.key_hash))
+      found.push_back(&entry);
+  }
+  return FillPage(found, max_bytes, seed);
 }
 
 std::vector<Fact> FactTable::WithPrefix(std::string_view prefix) {
@@ -149,7 +280,7 @@
   std::vector<Fact> facts;
   for (auto it = facts_.lower_bound(prefix);
        it != facts_.end() && it->first.starts_with(prefix); ++it)
-    facts.push_back(it->second);
+    facts.push_back(it->second.fact);
   return facts;
 }
 
@@ -158,9 +289,9 @@
   const auto found = facts_.find(key);
   if (found == facts_.end())
     return;
-  hashes_[BucketOf(key)] ^= HashOf(found->second);
+  part_hashes_[PartOf(found->second.key_hash)] ^= HashOf(found->second.fact);
   facts_.erase(found);
-  send_counts_.erase(key);
+  rumours_.erase(key);
 }
 
 size_t FactTable::size() {
--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -205,7 +205,7 @@
         }
         if (compares_all_facts)
           controller->differing_bucket_count_ = reply->wanted_buckets.size();
-        controller->OnGossipReply(address, *reply);
+        controller->OnGossipReply(address, *reply, [](auto) {});
       });
 }
 
@@ -345,8 +345,16 @@
           controller->SynchronizeWith(std::move(addresses), std::move(done));
           return;
         }
-        controller->OnGossipReply(address, *reply);
-        done();
+        controller->OnGossipReply(address, *reply,
+                                  [weak, addresses = std::move(addresses),
+                                   done = std::move(done)](ComparisonEnd end) {
+                                    const auto controller = weak.lock();
+                                    if (end == ComparisonEnd::kComplete)
+                                      done();
+                                    else if (controller)
+                                      controller->SynchronizeWith(addresses,
+                                                                  done);
+                                  });
       });
 }
 
@@ -362,29 +370,63 @@
 }
 
 void MembershipController::OnGossipReply(const std::string& address,
-                                         const GossipMessage& reply) {
+                                         const GossipMessage& reply,
+                                         const ComparisonCallback& done) {
   OnMembersOfPeer(reply.member_count);
-  if (reply.wanted_buckets.empty()) {
-    AddFacts(reply.facts, FactTable::Spread::kAsRumour);
+  if (!reply.wanted_buckets.empty()) {
+    // NOTE: Only nodes of earlier versions send facts before the second step.
+    AddFacts(reply.facts, FactTable::Spread::kNone);
+    CompareParts(address, reply, done);
     return;
   }
-  AddFacts(reply.facts, FactTable::Spread::kNone);
-  GossipMessage push;
-  push.sender_address = self().peer_address;
-  push.wanted_buckets = reply.wanted_buckets;
-  push.facts = facts_.FactsInBuckets(reply.wanted_buckets,
-                                     rules_.max_sync_bytes, reply.facts);
-  if (push.facts.empty())
+  AddFacts(reply.facts, FactTable::Spread::kAsRumour);
+  done(ComparisonEnd::kComplete);
+}
+
+void MembershipController::CompareParts(const std::string& address,
+                                        const GossipMessage& reply,
+                                        const ComparisonCallback& done) {
+  PartSummaries summaries = facts_.Summarize(
+      facts_.DifferingParts(reply.wanted_buckets, reply.part_hashes),
+      rules_.max_sync_bytes / sizeof(FactSummary), random_.Next());
+  if (summaries.parts.empty()) {
+    done(ComparisonEnd::kComplete);
     return;
-  transport_.Gossip(address, std::move(push), rules_.probe_timeout,
-                    [weak = weak_from_this()](auto answer) {
+  }
+  GossipMessage message;
+  message.sender_address = self().peer_address;
+  message.compared_parts = std::move(summaries.parts);
+  message.summaries = std::move(summaries.facts);
+  transport_.Gossip(address, std::move(message), rules_.probe_timeout,
+                    [weak = weak_from_this(), address, done](auto answer) {
                       const auto controller = weak.lock();
-                      if (controller && answer)
-                        controller->AddFacts(answer->facts,
-                                             FactTable::Spread::kAsRumour);
+                      if (!controller)
+                        return;
+                      if (!answer) {
+                        done(ComparisonEnd::kFailed);
+                        return;
+                      }
+                      controller->AddFacts(answer->facts,
+                                           FactTable::Spread::kNone);
+                      controller->PushFacts(address, answer->wanted_facts);
+                      done(ComparisonEnd::kComplete);
                     });
 }
 
+void MembershipController::PushFacts(
+    const std::string& address,
+    const std::vector<uint64_t>& wanted_facts) {
+  if (wanted_facts.empty())
+    return;
+  GossipMessage push;
+  push.sender_address = self().peer_address;
+  push.facts =
+      facts_.WithKeyHashes(wanted_facts, rules_.max_sync_bytes, random_.Next());
+  push.wanted_facts = wanted_facts;
+  transport_.Gossip(address, std::move(push), rules_.probe_timeout,
+                    [](const auto&) {});
+}
+
 GossipMessage MembershipController::OnGossip(const GossipMessage& message) {
   GossipMessage reply;
   size_t member_count = 0;
@@ -399,6 +441,19 @@
     member_count = members_.size() + 1;
   }
   OnMembersOfPeer(message.member_count);
+  if (!message.compared_parts.empty()) {
+    FactDifference difference =
+        facts_.Compare({message.compared_parts, message.summaries},
+                       rules_.max_sync_bytes, random_.Next());
+    reply.facts = std::move(difference.newer);
+    reply.wanted_facts = std::move(difference.outdated);
+    return reply;
+  }
+  if (!message.wanted_facts.empty()) {
+    AddFacts(message.facts, FactTable::Spread::kNone);
+    return reply;
+  }
+  // NOTE: Only nodes of earlier versions send `wanted_buckets` with facts.
   reply.known_facts = AddFacts(message.facts, message.wanted_buckets.empty()
                                                   ? FactTable::Spread::kAsRumour
                                                   : FactTable::Spread::kNone);
@@ -407,8 +462,7 @@
     return reply;
   }
   reply.wanted_buckets = facts_.DifferingBuckets(message.bucket_hashes);
-  reply.facts =
-      facts_.FactsInBuckets(reply.wanted_buckets, rules_.max_sync_bytes);
+  reply.part_hashes = facts_.PartHashes(reply.wanted_buckets);
   return reply;
 }
 
--- a/Libraries/LibMembership/membership_controller.h
+++ b/Libraries/LibMembership/membership_controller.h
@@ -36,8 +36,8 @@
   // How long a dead member is kept, so that rumours which arrive late don't
   // bring it back. A leaving member counts as dead after this time.
   base::Duration tombstone_lifetime = std::chrono::minutes(10);
-  // Limits of the facts in one message: rumours, and facts from the buckets
-  // that differ.
+  // Limits of the facts in one message: rumours, and facts (or their summaries)
+  // of a comparison.
   size_t max_rumour_bytes = size_t{8} * 1024;
   size_t max_sync_bytes = size_t{64} * 1024;
   // Number of peers that are asked to probe a peer that does not answer.
@@ -67,8 +67,9 @@
   void AnnounceLeaving();
 
   // Compares all facts with those of a peer now. Calls `done` once a peer has
-  // answered or all peers that were tried have failed, and immediately if there
-  // is no peer to try.
+  // sent the facts that this node lacks, up to the limit of a message, or all
+  // peers that were tried have failed, and immediately if there is no peer to
+  // try.
   void Synchronize(std::function<void()> done);
 
   // Handles a peer's gossip and returns the reply. Ignores it before Start().
@@ -108,7 +109,19 @@
   void Probe(const std::string& address);
   void ProbeIndirectly(const std::string& address);
   void OnProbeFailed(const std::string& address);
-  void OnGossipReply(const std::string& address, const GossipMessage& reply);
+  // How a comparison ended. It is complete once this node has the facts that it
+  // lacked, up to the limit of a message.
+  enum class ComparisonEnd { kComplete, kFailed };
+  using ComparisonCallback = std::function<void(ComparisonEnd)>;
+  void OnGossipReply(const std::string& address,
+                     const GossipMessage& reply,
+                     const ComparisonCallback& done);
+  // The second and the third step of a comparison: see GossipMessage.
+  void CompareParts(const std::string& address,
+                    const GossipMessage& reply,
+                    const ComparisonCallback& done);
+  void PushFacts(const std::string& address,
+                 const std::vector<uint64_t>& wanted_facts);
   // Returns the indices of the facts that were known already.
   std::vector<uint32_t> AddFacts(const std::vector<Fact>& facts,
                                  FactTable::Spread spread);
--- a/Libraries/LibNode/metered_gossip.cc
+++ b/Libraries/LibNode/metered_gossip.cc
@@ -16,8 +16,13 @@
 uint64_t SizeInBytes(const GossipMessage& message) {
   return std::accumulate(
       message.facts.begin(), message.facts.end(),
-      8 * message.bucket_hashes.size() + 4 * message.wanted_buckets.size() +
-          4 * message.known_facts.size(),
+      sizeof(uint64_t) *
+              (message.bucket_hashes.size() + message.part_hashes.size() +
+               message.wanted_facts.size()) +
+          sizeof(uint32_t) *
+              (message.wanted_buckets.size() + message.known_facts.size()) +
+          sizeof(uint16_t) * message.compared_parts.size() +
+          sizeof(membership::FactSummary) * message.summaries.size(),
       [](uint64_t sum, const membership::Fact& fact) {
         return sum + fact.key.size() + fact.value.size() + sizeof(fact.version);
       });
@@ -32,7 +37,9 @@
   std::string_view kind = "rumours";
   if (!message.bucket_hashes.empty())
     kind = "comparison";
-  else if (!message.wanted_buckets.empty())
+  else if (!message.compared_parts.empty())
+    kind = "fact_comparison";
+  else if (!message.wanted_facts.empty())
     kind = "push";
   Count(kind, message);
   transport_.Gossip(peer_address, std::move(message), timeout,
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -12,6 +12,9 @@
 
 using query::MissingReason;
 
+// The key hash, the epoch and the counter.
+constexpr uint32_t kNumbersPerSummary = 3;
+
 capnp::Text::Reader ToText(const std::string& text) {
   return capnp::Text::Reader(text.c_str(), text.size());
 }
@@ -204,6 +207,22 @@
       value.known_facts,
       out.initKnownFacts(static_cast<uint32_t>(value.known_facts.size())));
   out.setMemberCount(static_cast<uint32_t>(value.member_count));
+  CopyNumbers(
+      value.part_hashes,
+      out.initPartHashes(static_cast<uint32_t>(value.part_hashes.size())));
+  CopyNumbers(value.compared_parts, out.initComparedParts(static_cast<uint32_t>(
+                                        value.compared_parts.size())));
+  auto summaries = out.initSummaries(
+      static_cast<uint32_t>(value.summaries.size() * kNumbersPerSummary));
+  for (uint32_t i = 0; i < value.summaries.size(); ++i) {
+    const membership::FactSummary& fact = value.summaries[i];
+    summaries.set(i * kNumbersPerSummary, fact.key_hash);
+    summaries.set(i * kNumbersPerSummary + 1, fact.version.epoch);
+    summaries.set(i * kNumbersPerSummary + 2, fact.version.counter);
+  }
+  CopyNumbers(
+      value.wanted_facts,
+      out.initWantedFacts(static_cast<uint32_t>(value.wanted_facts.size())));
 }
 
 membership::GossipMessage Decode(wire::GossipMessage::Reader in) {
@@ -220,6 +239,17 @@
   for (const uint32_t index : in.getKnownFacts())
     value.known_facts.push_back(index);
   value.member_count = in.getMemberCount();
+  for (const uint64_t hash : in.getPartHashes())
+    value.part_hashes.push_back(hash);
+  for (const uint16_t part : in.getComparedParts())
+    value.compared_parts.push_back(part);
+  const auto summaries = in.getSummaries();
+  for (uint32_t i = 0; i + kNumbersPerSummary <= summaries.size();
+       i += kNumbersPerSummary)
+    value.summaries.push_back(
+        {summaries[i], {summaries[i + 1], summaries[i + 2]}});
+  for (const uint64_t key_hash : in.getWantedFacts())
+    value.wanted_facts.push_back(key_hash);
   return value;
 }
 
--- a/Libraries/LibPeer/peer.capnp
+++ b/Libraries/LibPeer/peer.capnp
@@ -84,6 +84,10 @@
   wantedBuckets @3 :List(UInt32);
   knownFacts @4 :List(UInt32);
   memberCount @5 :UInt32;
+  partHashes @6 :List(UInt64);
+  comparedParts @7 :List(UInt16);
+  summaries @8 :List(UInt64);  # Key hash, epoch and counter of each fact.
+  wantedFacts @9 :List(UInt64);
 }
 
 struct Booking {
--- a/Libraries/LibPeer/peer.capnp.h
+++ b/Libraries/LibPeer/peer.capnp.h
@@ -201,7 +201,7 @@
   class Pipeline;
 
   struct _capnpPrivate {
-    CAPNP_DECLARE_STRUCT_HEADER(fc6ebb232438e428, 1, 5)
+    CAPNP_DECLARE_STRUCT_HEADER(fc6ebb232438e428, 1, 9)
     #if !CAPNP_LITE
     static constexpr ::capnp::_::RawBrandedSchema const* brand() { return &schema->defaultBrand; }
     #endif  // !CAPNP_LITE
@@ -1575,6 +1575,18 @@
 
   inline  ::uint32_t getMemberCount() const;
 
+  inline bool hasPartHashes() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getPartHashes() const;
+
+  inline bool hasComparedParts() const;
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader getComparedParts() const;
+
+  inline bool hasSummaries() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getSummaries() const;
+
+  inline bool hasWantedFacts() const;
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader getWantedFacts() const;
+
 private:
   ::capnp::_::StructReader _reader;
   template <typename, ::capnp::Kind>
@@ -1644,6 +1656,38 @@
   inline  ::uint32_t getMemberCount();
   inline void setMemberCount( ::uint32_t value);
 
+  inline bool hasPartHashes();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getPartHashes();
+  inline void setPartHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setPartHashes(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initPartHashes(unsigned int size);
+  inline void adoptPartHashes(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownPartHashes();
+
+  inline bool hasComparedParts();
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder getComparedParts();
+  inline void setComparedParts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setComparedParts(::kj::ArrayPtr<const  ::uint16_t> value);
+  inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder initComparedParts(unsigned int size);
+  inline void adoptComparedParts(::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> disownComparedParts();
+
+  inline bool hasSummaries();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getSummaries();
+  inline void setSummaries( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setSummaries(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initSummaries(unsigned int size);
+  inline void adoptSummaries(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownSummaries();
+
+  inline bool hasWantedFacts();
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder getWantedFacts();
+  inline void setWantedFacts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value);
+  inline void setWantedFacts(::kj::ArrayPtr<const  ::uint64_t> value);
+  inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder initWantedFacts(unsigned int size);
+  inline void adoptWantedFacts(::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value);
+  inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> disownWantedFacts();
+
 private:
   ::capnp::_::StructBuilder _builder;
   template <typename, ::capnp::Kind>
@@ -4854,6 +4898,158 @@
       ::capnp::bounded<0>() * ::capnp::ELEMENTS, value);
 }
 
+inline bool GossipMessage::Reader::hasPartHashes() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasPartHashes() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getPartHashes() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getPartHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setPartHashes( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setPartHashes(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initPartHashes(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptPartHashes(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownPartHashes() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<5>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasComparedParts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasComparedParts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getComparedParts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getComparedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setComparedParts( ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setComparedParts(::kj::ArrayPtr<const  ::uint16_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initComparedParts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptComparedParts(
+    ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownComparedParts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint16_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<6>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasSummaries() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasSummaries() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getSummaries() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getSummaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setSummaries( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setSummaries(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initSummaries(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptSummaries(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownSummaries() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<7>() * ::capnp::POINTERS));
+}
+
+inline bool GossipMessage::Reader::hasWantedFacts() const {
+  return !_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline bool GossipMessage::Builder::hasWantedFacts() {
+  return !_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS).isNull();
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader GossipMessage::Reader::getWantedFacts() const {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_reader.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::getWantedFacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::get(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+inline void GossipMessage::Builder::setWantedFacts( ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Reader value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline void GossipMessage::Builder::setWantedFacts(::kj::ArrayPtr<const  ::uint64_t> value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::set(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), value);
+}
+inline  ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>::Builder GossipMessage::Builder::initWantedFacts(unsigned int size) {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::init(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), size);
+}
+inline void GossipMessage::Builder::adoptWantedFacts(
+    ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>&& value) {
+  ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::adopt(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS), kj::mv(value));
+}
+inline ::capnp::Orphan< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>> GossipMessage::Builder::disownWantedFacts() {
+  return ::capnp::_::PointerHelpers< ::capnp::List< ::uint64_t,  ::capnp::Kind::PRIMITIVE>>::disown(_builder.getPointerField(
+      ::capnp::bounded<8>() * ::capnp::POINTERS));
+}
+
 inline bool Booking::Reader::hasParty() const {
   return !_reader.getPointerField(
       ::capnp::bounded<0>() * ::capnp::POINTERS).isNull();
--- a/Tests/LibMembership/gossip_cluster.h
+++ b/Tests/LibMembership/gossip_cluster.h
@@ -38,6 +38,18 @@
       node->controller->Start();
   }
 
+  // Starts the nodes, and stops them once they know each other, so that they
+  // only answer from then on. Forgets what they have sent.
+  void StartAndSettle() {
+    Start();
+    scheduler.RunFor(std::chrono::seconds(1));
+    for (auto& node : nodes_)
+      node->controller->Stop();
+    sent_facts = 0;
+    sent_fact_bytes = 0;
+    sent_comparison_bytes = 0;
+  }
+
   FactTable& facts(size_t node) { return nodes_[node]->facts; }
   MembershipController& controller(size_t node) {
     return *nodes_[node]->controller;
@@ -59,6 +71,7 @@
   // Of all messages and replies.
   uint64_t sent_facts = 0;
   uint64_t sent_fact_bytes = 0;
+  uint64_t sent_comparison_bytes = 0;  // Hashes and summaries.
 
  private:
   struct Node final : public GossipTransport {
@@ -104,6 +117,11 @@
     sent_facts += message.facts.size();
     for (const Fact& fact : message.facts)
       sent_fact_bytes += fact.key.size() + fact.value.size();
+    sent_comparison_bytes += sizeof(uint64_t) * (message.bucket_hashes.size() +
+                                                 message.part_hashes.size() +
+                                                 message.wanted_facts.size()) +
+                             sizeof(uint16_t) * message.compared_parts.size() +
+                             sizeof(FactSummary) * message.summaries.size();
   }
 
   std::vector<std::unique_ptr<Node>> nodes_;
--- a/Tests/LibMembership/members_missing_after_restart_test.cc
+++ b/Tests/LibMembership/members_missing_after_restart_test.cc
@@ -39,6 +39,17 @@
     table.AddIfNewer(fact, FactTable::Spread::kNone);
 }
 
+// Dead members are known like others, but not asked.
+std::vector<Fact> MakeDeadMembers() {
+  std::vector<Fact> facts;
+  for (size_t i = 0; i < kNodes; ++i) {
+    Member member = MakeMember("m" + std::to_string(i));
+    member.state = MemberState::kDead;
+    facts.push_back(ToFact(member));
+  }
+  return facts;
+}
+
 size_t SizeInBytes(const std::vector<Fact>& facts) {
   size_t bytes = 0;
   for (const Fact& fact : facts)
@@ -77,10 +88,9 @@
 
 TEST_CASE("members that only one side knows are found among many equal facts") {
   GossipCluster cluster(2, 2);
+  cluster.StartAndSettle();
   const auto claims = MakeClaims("");
-  std::vector<Fact> members;
-  for (size_t i = 0; i < kNodes; ++i)
-    members.push_back(ToFact(MakeMember("m" + std::to_string(i))));
+  const auto members = MakeDeadMembers();
   for (size_t node = 0; node < 2; ++node)
     AddAll(cluster.facts(node), claims);
   for (size_t i = 0; i < kNodes; ++i)
@@ -88,20 +98,22 @@
   CHECK(CompareUntilEqual(cluster, 10) <= 1);
   // NOTE: What is equal isn't sent, whatever buckets it is in.
   CHECK(cluster.sent_fact_bytes <= SizeInBytes(members));
+  CHECK(cluster.sent_comparison_bytes <
+        (kClaims + kNodes) * sizeof(FactSummary));
 }
 
 TEST_CASE("wholly different facts become equal, members first") {
   GossipCluster cluster(2, 2);
+  cluster.StartAndSettle();
   const auto first = MakeClaims("first");
   const auto second = MakeClaims("second");
   AddAll(cluster.facts(0), first);
   AddAll(cluster.facts(1), second);
-  std::vector<Fact> members;
-  for (size_t i = 0; i < kNodes; ++i)
-    members.push_back(ToFact(MakeMember("m" + std::to_string(i))));
+  const auto members = MakeDeadMembers();
   AddAll(cluster.facts(1), members);
   cluster.controller(0).Synchronize([] {});
-  CHECK(cluster.facts(0).WithPrefix(kMemberFactPrefix).size() == kNodes);
+  CHECK(cluster.facts(0).WithPrefix(kMemberFactPrefix).size() ==
+        kNodes + cluster.node_count());
 
   const size_t pages = SizeInBytes(first) / kMaxPageBytes + 2;
   CHECK(CompareUntilEqual(cluster, 4 * pages) <= pages);
@@ -112,12 +124,12 @@
 TEST_CASE(
     "a host that knows nothing learns its peers with the first comparison") {
   GossipCluster cluster(2, 2);
+  cluster.StartAndSettle();
   AddAll(cluster.facts(1), MakeClaims(""));
-  for (size_t i = 0; i < kNodes; ++i)
-    cluster.facts(1).AddIfNewer(ToFact(MakeMember("m" + std::to_string(i))),
-                                FactTable::Spread::kNone);
+  AddAll(cluster.facts(1), MakeDeadMembers());
   cluster.controller(0).Synchronize([] {});
-  CHECK(cluster.facts(0).WithPrefix(kMemberFactPrefix).size() == kNodes);
+  CHECK(cluster.facts(0).WithPrefix(kMemberFactPrefix).size() ==
+        kNodes + cluster.node_count());
 }
 
 }  // namespace
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -158,6 +158,7 @@
                                    scheduler, random, facts, transport);
   transport.reply.facts = {{"claim/1", {1, 0}, "old news"}};
   transport.reply.wanted_buckets = {0, 1, 2, 3};
+  transport.reply.part_hashes = std::vector<uint64_t>(4 * kPartsPerBucket, 1);
   controller->Synchronize([] {});
   CHECK(facts.size() == 1);
   CHECK_FALSE(facts.has_rumours());
