LibUpstream: Find the servers of a service without visiting all others

Cause: each change of a server voids the upstreams that were built from the registry, and the next request builds its own again, on the thread that answers. For each of its services it looked through all servers that were ever known: 135 x 1,069 there.

The registry now keeps the instances of each service.

--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -69,8 +69,13 @@
   const Entry before = entry;
   entry.revision = claim.revision;
   entry.is_removed = !claim.server;
-  if (claim.server)
+  if (claim.server) {
+    const std::string& service = claim.server->service;
+    if (before.revision != 0 && before.server.service != service)
+      instances_by_service_[before.server.service].erase(claim.instance);
+    instances_by_service_[service].insert(claim.instance);
     entry.server = *claim.server;
+  }
   if (entry.server.phase == ServerPhase::kLeaving)
     entry.leaving_incarnation = entry.server.incarnation;
   const bool was_serving = before.revision != 0 && before.takes_work();
@@ -100,8 +105,12 @@
     const std::string& service) const {
   const std::lock_guard lock(mutex_);
   std::vector<config::Server> servers;
-  for (const auto& [instance, entry] : entries_) {
-    if (entry.server.service == service && entry.takes_work())
+  const auto instances = instances_by_service_.find(service);
+  if (instances == instances_by_service_.end())
+    return servers;
+  for (const std::string& instance : instances->second) {
+    const Entry& entry = entries_.at(instance);
+    if (entry.takes_work())
       servers.push_back(
           {entry.server.address, entry.server.availability_zone, instance});
   }
@@ -123,10 +132,10 @@
 
 int ServerRegistry::SlotsOf(const std::string& service) const {
   const std::lock_guard lock(mutex_);
-  const auto found = std::ranges::find_if(entries_, [&](const auto& item) {
-    return item.second.server.service == service;
-  });
-  return found == entries_.end() ? 1 : found->second.server.slots;
+  const auto instances = instances_by_service_.find(service);
+  return instances == instances_by_service_.end() || instances->second.empty()
+             ? 1
+             : entries_.at(*instances->second.begin()).server.slots;
 }
 
 std::optional<RegisteredServer> ServerRegistry::Find(
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -98,6 +99,9 @@
   mutable std::mutex mutex_;
   // All guarded by `mutex_`.
   std::map<std::string, Entry> entries_;  // By instance.
+  // The instances whose latest server is of the service, by service.
+  std::map<std::string, std::set<std::string>, std::less<>>
+      instances_by_service_;
   uint64_t generation_ = 0;
 };
 
--- a/Tests/LibUpstream/server_registry_test.cc
+++ b/Tests/LibUpstream/server_registry_test.cc
@@ -46,6 +46,19 @@
   CHECK(registry.ServersOf("other").empty());
 }
 
+TEST_CASE("an instance that changes its service is a server of the new one") {
+  ServerRegistry registry;
+  registry.Apply(ServingClaim(5, 1, 1));
+  ServerClaim moved = ServingClaim(6, 2, 1);
+  moved.server->service = "search";
+  moved.server->slots = 7;
+  registry.Apply(moved);
+  CHECK(registry.ServersOf("ledger").empty());
+  CHECK(registry.SlotsOf("ledger") == 1);
+  CHECK(registry.ServersOf("search").size() == 1);
+  CHECK(registry.SlotsOf("search") == 7);
+}
+
 TEST_CASE("an incarnation that is leaving can't return") {
   ServerRegistry registry;
   registry.Apply(ServingClaim(5, 1, 1));
