LibQuery: Count the objective of a request from its arrival

Answers that are cut off at their objective left some milliseconds after it, by as much as the node had needed to begin the request. After a restart, when hosts called the servers of 135 services themselves, beginning took 3.9 ms of the 40.

Cause: two spans of time that passed unnoticed. The rest of the objective was computed as an argument beside the upstream, which may have to be built first, and the timer of the cut was set for all of that rest only after the calls had been sent.

The upstream is now built first, and the timer counts from the start of the execution.

late_cut_test failed without the change (44 ms for a cut due after 35, of which 5 ms were the building and 4 ms the calls), and passes with it.

--- a/Libraries/LibQuery/forward_filters.cc
+++ b/Libraries/LibQuery/forward_filters.cc
@@ -144,9 +144,13 @@
 
 void ForwardExecutionFilter::Handle(ForwardContextPtr context, Next) {
   const std::vector<std::string> services = ChooseServices(*context->route);
+  // NOTE: This may take long. The times in the leaf request count from when it
+  // is made.
+  const UpstreamPtr upstream =
+      upstream_cache_.UpstreamFor(context->configuration, services);
   const RunningLeafRequestPtr run = leaf_executor_.Execute(
-      upstream_cache_.UpstreamFor(context->configuration, services),
-      MakeLeafRequest(*context, services.size()), [context](LeafAnswer answer) {
+      upstream, MakeLeafRequest(*context, services.size()),
+      [context](LeafAnswer answer) {
         context->load = answer.load;
         context->attempts = std::move(answer.attempts);
         context->missing = answer.missing;
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -182,8 +182,9 @@
     return;
   deadline_timer_ = StartTimer(deadline_ - Now(), &LeafExecution::Cancel);
   if (request_.forward && request_.forward->objective.count() > 0)
-    objective_timer_ = StartTimer(request_.forward->objective,
-                                  &LeafExecution::OnObjectiveReached);
+    objective_timer_ =
+        StartTimer(started_ + request_.forward->objective - Now(),
+                   &LeafExecution::OnObjectiveReached);
   if (request_.forward &&
       request_.forward->repeatability == config::Repeatability::kOnce)
     return;
