LibMembership: Let no other news hold up members and configurations

Causes, of the same class as members missing after a restart: first, rumours that were sent equally often went in the order of their keys, so that the manifest waited behind all claims. Second, a rumour stops after a bounded number of sends and misses some hosts, and comparisons, which find what it missed, wait until a host has no rumours left.

The manifest, whether hosts get answers from the store, and leaving servers are now sent as urgent, like members. Urgent facts have a bucket of their own, whose hash goes with each message that spreads rumours, so that they are compared beside them. A host of an earlier version compares whole buckets with hosts of this one until it is replaced, as the assignment to buckets differs.

The peer of one test of comparisons sent its facts with the first step; it sends them with the second now, as peers do.

--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -29,14 +29,16 @@
   auto operator<=>(const Fact&) const = default;
 };
 
-// Each fact belongs to one part of one bucket, which the hash of its key
-// determines: part `p` is in bucket `p % kFactBucketCount`. Two nodes compare a
+// Each fact belongs to one part of one bucket: part `p` is in bucket
+// `p % kFactBucketCount`. The urgent facts are in a bucket of their own. Two
+// nodes compare a
 // hash for each bucket, then one for each part of the buckets that differ, and
 // then the summaries of the facts in the parts that differ.
 inline constexpr size_t kFactBucketCount = 32;
 inline constexpr size_t kPartsPerBucket = 32;
 inline constexpr size_t kFactPartCount = kFactBucketCount * kPartsPerBucket;
-// Has kFactBucketCount elements or none.
+inline constexpr uint32_t kUrgentBucket = 0;
+// Has kFactBucketCount elements, only that of kUrgentBucket, or none.
 using BucketHashes = std::vector<uint64_t>;
 
 // Names a fact without its key and value.
@@ -47,17 +49,18 @@
   auto operator<=>(const FactSummary&) const = default;
 };
 
-// A message spreads rumours, or is one of the three steps of a comparison of
-// all facts. Each step may also find that there is nothing left to do:
-//   1. `bucket_hashes`. The reply has `wanted_buckets` and their `part_hashes`.
+// A message spreads rumours, or is one of the three steps of a comparison. Each
+// step may also find that there is nothing left to do:
+//   1. `bucket_hashes`: all of them, or beside rumours that of the urgent
+//   facts,
+//      which rumours may miss too, and which must not wait until there are no
+//      rumours left. The reply has `wanted_buckets` and their `part_hashes`.
 //   2. `compared_parts` and `summaries`. The reply has the `facts` that its
 //      receiver lacks, and `wanted_facts`.
 //   3. `facts` and, as an echo, `wanted_facts`.
 struct GossipMessage {
   std::string sender_address;  // The sender's peer address.
   std::vector<Fact> facts;
-  // Hashes of the sender's buckets, sent while it has no rumours to spread, to
-  // find the facts that rumours missed.
   BucketHashes bucket_hashes;
   // The buckets that differ.
   std::vector<uint32_t> wanted_buckets;
--- a/Libraries/LibMembership/fact_table.cc
+++ b/Libraries/LibMembership/fact_table.cc
@@ -33,10 +33,6 @@
          static_cast<uint32_t>(std::bit_width(member_count));
 }
 
-uint32_t PartOf(uint64_t key_hash) {
-  return static_cast<uint32_t>(key_hash % kFactPartCount);
-}
-
 // Hashes the key and the version, not the value.
 uint64_t HashOf(const Fact& fact) {
   return base::StableHash(fact.key,
@@ -63,19 +59,28 @@
          });
 }
 
+uint32_t FactTable::PartOf(std::string_view key, uint64_t key_hash) const {
+  static_assert(kUrgentBucket == 0);
+  const uint64_t bucket =
+      IsUrgent(key) ? kUrgentBucket : 1 + key_hash % (kFactBucketCount - 1);
+  const uint64_t part_of_bucket =
+      key_hash / (kFactBucketCount - 1) % kPartsPerBucket;
+  return static_cast<uint32_t>(bucket + part_of_bucket * kFactBucketCount);
+}
+
 bool FactTable::AddIfNewer(const Fact& fact, Spread spread) {
   const uint64_t key_hash = base::StableHash(fact.key);
+  const uint32_t part = PartOf(fact.key, key_hash);
   {
     const std::lock_guard lock(mutex_);
     const auto found = facts_.find(fact.key);
     if (found != facts_.end() && found->second.fact.version >= fact.version)
       return false;
-    uint64_t& part_hash = part_hashes_[PartOf(key_hash)];
+    uint64_t& part_hash = part_hashes_[part];
     if (found != facts_.end())
       part_hash ^= HashOf(found->second.fact);
     part_hash ^= HashOf(fact);
-    facts_.insert_or_assign(fact.key,
-                            Entry{fact, key_hash, IsUrgent(fact.key)});
+    facts_.insert_or_assign(fact.key, Entry{fact, key_hash, part});
     if (spread == Spread::kAsRumour)
       rumours_[fact.key] = {0, next_rumour_number_++};
   }
@@ -90,7 +95,7 @@
   std::ranges::sort(candidates, {}, &Candidate::order);
   const auto others = std::ranges::stable_partition(
       candidates,
-      [](const Candidate& candidate) { return candidate.entry->is_urgent; });
+      [](const Candidate& candidate) { return candidate.entry->is_urgent(); });
   std::vector<const Entry*> page;
   size_t bytes = 0;
   // Adds the candidates from `next` on up to `limit`, and returns the first one
@@ -167,6 +172,10 @@
   return hashes;
 }
 
+BucketHashes FactTable::UrgentBucketHash() {
+  return {CurrentBucketHashes()[kUrgentBucket]};
+}
+
 std::vector<uint32_t> FactTable::DifferingBuckets(const BucketHashes& theirs) {
   std::vector<uint32_t> buckets;
   const BucketHashes ours = CurrentBucketHashes();
@@ -218,7 +227,7 @@
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [key, entry] : facts_) {
-      const auto found = by_part.find(PartOf(entry.key_hash));
+      const auto found = by_part.find(entry.part);
       if (found != by_part.end())
         found->second.push_back({entry.key_hash, entry.fact.version});
     }
@@ -246,7 +255,7 @@
   const std::lock_guard lock(mutex_);
   std::vector<const Entry*> newer;
   for (const auto& [key, entry] : facts_) {
-    if (!parts.contains(PartOf(entry.key_hash)))
+    if (!parts.contains(entry.part))
       continue;
     const auto found = outdated.find(entry.key_hash);
     if (found == outdated.end() || found->second < entry.fact.version)
@@ -289,7 +298,7 @@
   const auto found = facts_.find(key);
   if (found == facts_.end())
     return;
-  part_hashes_[PartOf(found->second.key_hash)] ^= HashOf(found->second.fact);
+  part_hashes_[found->second.part] ^= HashOf(found->second.fact);
   facts_.erase(found);
   rumours_.erase(key);
 }
--- a/Libraries/LibMembership/fact_table.h
+++ b/Libraries/LibMembership/fact_table.h
@@ -66,6 +66,8 @@
   bool has_rumours();
 
   BucketHashes CurrentBucketHashes();
+  // Returns only the hash of kUrgentBucket.
+  BucketHashes UrgentBucketHash();
   // Returns the buckets whose hashes in `theirs` differ from this table's.
   std::vector<uint32_t> DifferingBuckets(const BucketHashes& theirs);
   // Returns the hashes of all parts of `buckets`.
@@ -101,7 +103,9 @@
   struct Entry {
     Fact fact;
     uint64_t key_hash = 0;
-    bool is_urgent = false;
+    uint32_t part = 0;
+
+    bool is_urgent() const { return part % kFactBucketCount == kUrgentBucket; }
   };
   struct Rumour {
     uint32_t send_count = 0;
@@ -114,6 +118,8 @@
   };
 
   bool IsUrgent(std::string_view key) const;
+  // Returns the part of the fact with this key.
+  uint32_t PartOf(std::string_view key, uint64_t key_hash) const;
   // Returns the candidates that fit into `max_bytes`, in the order in which
   // they are to be sent.
   static std::vector<const Entry*> FillPage(std::vector<Candidate> candidates,
--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -185,8 +185,8 @@
     compares_all_facts = rounds_ <= kFullSyncRounds || !facts_.has_rumours();
   }
   message.facts = facts_.TakeRumours(rules_.max_rumour_bytes, member_count);
-  if (compares_all_facts)
-    message.bucket_hashes = facts_.CurrentBucketHashes();
+  message.bucket_hashes = compares_all_facts ? facts_.CurrentBucketHashes()
+                                             : facts_.UrgentBucketHash();
   std::vector<Fact> rumours = message.facts;
   transport_.Gossip(
       address, std::move(message), rules_.probe_timeout,
@@ -374,8 +374,10 @@
                                          const ComparisonCallback& done) {
   OnMembersOfPeer(reply.member_count);
   if (!reply.wanted_buckets.empty()) {
-    // NOTE: Only nodes of earlier versions send facts before the second step.
-    AddFacts(reply.facts, FactTable::Spread::kNone);
+    // NOTE: Nodes of earlier versions send all facts of these buckets.
+    AddFacts(reply.facts, reply.part_hashes.empty()
+                              ? FactTable::Spread::kNone
+                              : FactTable::Spread::kAsRumour);
     CompareParts(address, reply, done);
     return;
   }
@@ -457,10 +459,8 @@
   reply.known_facts = AddFacts(message.facts, message.wanted_buckets.empty()
                                                   ? FactTable::Spread::kAsRumour
                                                   : FactTable::Spread::kNone);
-  if (message.bucket_hashes.empty()) {
+  if (message.bucket_hashes.size() < kFactBucketCount)
     reply.facts = facts_.TakeRumours(rules_.max_rumour_bytes, member_count);
-    return reply;
-  }
   reply.wanted_buckets = facts_.DifferingBuckets(message.bucket_hashes);
   reply.part_hashes = facts_.PartHashes(reply.wanted_buckets);
   return reply;
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -120,6 +120,8 @@
       configuration_(platform::ConfigurationController::Create(
           {&peer_content_source_},
           MakeConfigurationParser(readers_))),
+      facts_(
+          {std::string(kManifestFactKey), std::string(kStoreHealthFactPrefix)}),
       membership_(membership::MembershipController::Create(
           settings_.self,
           settings_.peer_seeds,
--- a/Libraries/LibNode/metered_gossip.cc
+++ b/Libraries/LibNode/metered_gossip.cc
@@ -35,7 +35,7 @@
                            base::Duration timeout,
                            GossipCallback callback) {
   std::string_view kind = "rumours";
-  if (!message.bucket_hashes.empty())
+  if (message.bucket_hashes.size() == membership::kFactBucketCount)
     kind = "comparison";
   else if (!message.compared_parts.empty())
     kind = "fact_comparison";
--- a/Libraries/LibNode/node_core.cc
+++ b/Libraries/LibNode/node_core.cc
@@ -99,6 +99,7 @@
             return views_.Current()->IsZoneAssignee(std::string(kWatchTask),
                                                     kWatchersPerZone);
           })),
+      facts_({std::string(kManifestFactKey), std::string(kLeavingFactPrefix)}),
       membership_(membership::MembershipController::Create(
           MakeSelf(settings_, identity_),
           settings_.peer_seeds,
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -33,7 +33,7 @@
     sent_facts += message.facts.size();
     asked_peers.insert(peer_address);
     if (peers_answer) {
-      callback(reply);
+      callback(message.compared_parts.empty() ? reply : facts_reply);
       return;
     }
     scheduler_.After(timeout, [callback] {
@@ -50,7 +50,8 @@
   }
 
   bool peers_answer = true;
-  GossipMessage reply;  // Of peers that answer.
+  GossipMessage reply;        // Of peers that answer.
+  GossipMessage facts_reply;  // To the second step of a comparison.
   size_t sent_facts = 0;
   std::set<std::string> asked_peers;
 
@@ -135,6 +136,33 @@
   CHECK(cluster.CountNodesWithAllMembers() == 2);
 }
 
+// A page of rumours holds some 30 claims, and a configuration has to be in
+// force everywhere while hundreds change.
+TEST_CASE("an urgent fact does not wait behind others") {
+  FactTable facts({"manifest"});
+  for (size_t i = 0; i < kNewFacts; ++i)
+    facts.AddIfNewer(
+        {"claim/" + std::to_string(i), {1, 0}, std::string(200, 'x')});
+  facts.AddIfNewer({"manifest", {2, 0}, "revision 2"});
+  const MembershipRules rules;
+  for (int sends = 0; sends < 3; ++sends) {
+    const auto rumours = facts.TakeRumours(rules.max_rumour_bytes, kNodes);
+    CHECK(rumours.front().key == "manifest");
+    CHECK(rumours.size() > 1);
+  }
+}
+
+// Rumours of many members must not hold back those of servers.
+TEST_CASE("urgent facts leave room for others") {
+  FactTable facts;
+  for (size_t i = 0; i < kNewFacts; ++i)
+    facts.AddIfNewer(ToFact(MakeMember("n" + std::to_string(i))));
+  facts.AddIfNewer({"claim/1", {1, 0}, "gone"});
+  const auto rumours = facts.TakeRumours(1024, kNodes);
+  CHECK(std::ranges::count(rumours, "claim/1", &Fact::key) == 1);
+  CHECK(rumours.front().key.starts_with(kMemberFactPrefix));
+}
+
 TEST_CASE("a seed does not compare facts with itself") {
   fakes::VirtualScheduler scheduler;
   base::SeededRandom random(1);
@@ -156,7 +184,7 @@
   const auto controller =
       MembershipController::Create(MakeMember("self"), {"peer:8082"}, {},
                                    scheduler, random, facts, transport);
-  transport.reply.facts = {{"claim/1", {1, 0}, "old news"}};
+  transport.facts_reply.facts = {{"claim/1", {1, 0}, "old news"}};
   transport.reply.wanted_buckets = {0, 1, 2, 3};
   transport.reply.part_hashes = std::vector<uint64_t>(4 * kPartsPerBucket, 1);
   controller->Synchronize([] {});
--- a/Tests/LibNode/stale_configuration_test.cc
+++ b/Tests/LibNode/stale_configuration_test.cc
@@ -16,6 +16,8 @@
 
 constexpr int kNodeCount = 4;
 constexpr int kServiceCount = 4;
+constexpr int kManyNodes = 40;
+constexpr int kManyServers = 1200;
 
 std::unique_ptr<ForwardTier> MakeTier() {
   return ForwardTier::CreateSettled(kNodeCount, kServiceCount);
@@ -68,5 +70,23 @@
   }
 }
 
+// The load pattern: a new index starts hundreds of servers while operators
+// publish. Two nodes of each zone read the store, and tell the others.
+TEST_CASE("a configuration does not wait behind news of many servers") {
+  const auto tier = ForwardTier::CreateSettled(kManyNodes, kServiceCount);
+  for (int server = 0; server < kManyServers; ++server)
+    tier->PutServer("new" + std::to_string(server), "s0");
+  tier->PutConfiguration(4, kServiceCount);
+  base::Duration in_force{};
+  for (int node = 0; node < kManyNodes; ++node) {
+    while (RevisionInForce(*tier, node) != 4 && in_force < kStableTime) {
+      tier->RunFor(milliseconds(10));
+      in_force += milliseconds(10);
+    }
+  }
+  CAPTURE(in_force.count());
+  CHECK(in_force <= kConfigurationBound);
+}
+
 }  // namespace
 }  // namespace node
