LibNode: Give each server its turn when connections are opened in advance

A host that calls more than 160 servers itself, like the only one of its zone in a large installation, opened connections to the same 160 in advance and never to the others, so that requests waited for them.

Every 2 s all servers are found again, in the same order, and 8 are taken from the end each 100 ms; what is left is dropped.

Servers whose turn was longest ago now go first, among them those of the host's zone.

--- a/Libraries/LibNode/connection_warmer.cc
+++ b/Libraries/LibNode/connection_warmer.cc
@@ -47,6 +47,7 @@
   const size_t count = std::min(kTargetsPerRun, pending_targets_.size());
   for (size_t i = 0; i < count; ++i) {
     transport_.Prepare(pending_targets_.back());
+    last_turns_[pending_targets_.back().address] = now;
     pending_targets_.pop_back();
   }
 }
@@ -72,11 +73,16 @@
       }
     }
   }
-  // Servers of this node's zone are taken first, from the end.
-  std::stable_partition(targets.begin(), targets.end(),
-                        [&](const auto& target) {
-                          return !local_addresses.contains(target.address);
-                        });
+  std::erase_if(last_turns_, [&](const auto& turn) {
+    return !found_addresses.contains(turn.first);
+  });
+  std::ranges::stable_sort(
+      targets, std::greater<>(), [&](const upstream::ServerTarget& target) {
+        const auto turn = last_turns_.find(target.address);
+        return std::pair(
+            turn == last_turns_.end() ? base::Instant() : turn->second,
+            !local_addresses.contains(target.address));
+      });
   return targets;
 }
 
--- a/Libraries/LibNode/connection_warmer.h
+++ b/Libraries/LibNode/connection_warmer.h
@@ -6,6 +6,7 @@
 #define LIBNODE_CONNECTION_WARMER_H_
 
 #include <functional>
+#include <map>
 #include <string>
 #include <vector>
 
@@ -35,7 +36,8 @@
   void Run(const config::ConfigurationPtr& configuration);
 
  private:
-  // Returns all servers of the services that this node calls.
+  // Returns all servers of the services that this node calls. Those whose turn
+  // was longest ago are at the end, among them those of this node's zone.
   std::vector<upstream::ServerTarget> FindTargets(
       const config::ConfigurationPtr& configuration);
 
@@ -46,6 +48,9 @@
   upstream::Transport& transport_;
   base::Scheduler& scheduler_;
   std::vector<upstream::ServerTarget> pending_targets_;
+  // When each server of the last search had its turn, by address. Servers
+  // without an entry had none.
+  std::map<std::string, base::Instant> last_turns_;
   base::Instant next_search_;  // When targets are searched for again.
 };
 
--- a/Tests/LibNode/connection_warmer_test.cc
+++ b/Tests/LibNode/connection_warmer_test.cc
@@ -5,6 +5,7 @@
 #include <doctest/doctest.h>
 
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -56,11 +57,11 @@
 
 class WarmerFixture {
  public:
-  WarmerFixture() {
+  explicit WarmerFixture(size_t service_count = kServiceCount) {
     auto routes = std::make_shared<config::RouteTable>();
     config::Route route;
     route.gather = config::GatherOptions{};
-    for (size_t service = 0; service < kServiceCount; ++service) {
+    for (size_t service = 0; service < service_count; ++service) {
       const std::string name = "s" + std::to_string(service);
       route.gather->services.push_back(name);
       upstream::RegisteredServer server;
@@ -106,6 +107,17 @@
   CHECK(fixture.transport.prepared.size() >= kServiceCount);
 }
 
+// The load pattern: the only host of its zone calls the servers of all
+// services. More than are taken between two searches were never connected to.
+TEST_CASE("each of very many servers is connected to in its turn") {
+  constexpr size_t kManyServices = 405;
+  WarmerFixture fixture(kManyServices);
+  fixture.RunFor(milliseconds(8000));
+  const std::set<std::string> servers(fixture.transport.prepared.begin(),
+                                      fixture.transport.prepared.end());
+  CHECK(servers.size() == kManyServices);
+}
+
 // The load pattern: all processes of a large cluster are killed, and each new
 // one believes at first that it is alone.
 TEST_CASE("a restarted node connects only to the servers that it will call") {
