LibMembership: Tell replies of hosts that are still starting apart

A host that compares its facts after a pause could take the empty reply of a host that is still starting for a comparison that found no difference, and go on with outdated knowledge.

Such replies now name no sender, and the next peer is asked.

--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -59,7 +59,9 @@
 //      receiver lacks, and `wanted_facts`.
 //   3. `facts` and, as an echo, `wanted_facts`.
 struct GossipMessage {
-  std::string sender_address;  // The sender's peer address.
+  // The sender's peer address. Empty in the reply of a node that has not
+  // started yet, which ignored the message.
+  std::string sender_address;
   std::vector<Fact> facts;
   BucketHashes bucket_hashes;
   // The buckets that differ.
--- a/Libraries/LibMembership/membership_controller.cc
+++ b/Libraries/LibMembership/membership_controller.cc
@@ -372,6 +372,10 @@
 void MembershipController::OnGossipReply(const std::string& address,
                                          const GossipMessage& reply,
                                          const ComparisonCallback& done) {
+  if (reply.sender_address.empty()) {
+    done(ComparisonEnd::kFailed);
+    return;
+  }
   OnMembersOfPeer(reply.member_count);
   if (!reply.wanted_buckets.empty()) {
     // NOTE: Nodes of earlier versions send all facts of these buckets.
--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -24,7 +24,9 @@
 class FakeGossipTransport final : public GossipTransport {
  public:
   explicit FakeGossipTransport(base::Scheduler& scheduler)
-      : scheduler_(scheduler) {}
+      : scheduler_(scheduler) {
+    reply.sender_address = facts_reply.sender_address = "peer:8082";
+  }
 
   void Gossip(const std::string& peer_address,
               GossipMessage message,
@@ -138,6 +140,21 @@
 
 // A page of rumours holds some 30 claims, and a configuration has to be in
 // force everywhere while hundreds change.
+TEST_CASE("a peer that has not started does not make a node's facts fresh") {
+  GossipCluster cluster(3, 3);
+  cluster.controller(0).Start();
+  cluster.controller(1).Start();
+  cluster.scheduler.RunFor(std::chrono::seconds(1));
+  cluster.controller(0).Stop();
+  cluster.controller(1).Stop();
+  for (uint64_t version = 1; version <= 10; ++version) {
+    const Fact fact{"claim/1", {version, 0}, ""};
+    cluster.facts(1).AddIfNewer(fact, FactTable::Spread::kNone);
+    cluster.controller(0).Synchronize([] {});
+    CHECK(cluster.facts(0).WithPrefix("claim/") == std::vector{fact});
+  }
+}
+
 TEST_CASE("an urgent fact does not wait behind others") {
   FactTable facts({"manifest"});
   for (size_t i = 0; i < kNewFacts; ++i)
