LibNode: Name several leaving servers in one log line

Hosts now write one line each 100 ms at most, which names up to 50 servers with the revisions of their entries; the rest follows in the next ones. Nothing is left out.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -108,6 +108,9 @@
       dependencies_(std::move(dependencies)),
       work_meter_(dependencies_.scheduler, metrics_),
       log_line_limiter_(dependencies_.scheduler),
+      leaving_server_log_([](std::string servers) {
+        base::Log(Event::kServerLeaving, {{"servers", std::move(servers)}});
+      }),
       views_(settings_.self.node_id, {}),
       peer_dispatcher_(dependencies_.scheduler,
                        views_,
@@ -241,6 +244,7 @@
     next_work_summary_ = now + kWorkSummaryPeriod;
     LogWorkSummary();
   }
+  leaving_server_log_.Flush();
   freshness_gate_.Tick();
   configuration_->RetryMissingContent();
   connection_warmer_.Run(configuration_->Current());
@@ -476,9 +480,7 @@
   if (effect != upstream::ClaimEffect::kLeaving)
     return;
   const auto server = server_registry_.Find(claim.instance);
-  base::Log(Event::kServerLeaving,
-            {{"server", claim.instance},
-             {"revision", std::to_string(claim.revision)}});
+  leaving_server_log_.Add(claim.instance, claim.revision);
   if (server)
     dependencies_.transport.DropWaitingCalls(server->address);
 }
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -21,6 +21,7 @@
 #include "LibNode/cluster_leaf_nodes.h"
 #include "LibNode/connection_warmer.h"
 #include "LibNode/freshness_gate.h"
+#include "LibNode/leaving_server_log.h"
 #include "LibNode/metered_gossip.h"
 #include "LibNode/peer_adapters.h"
 #include "LibPeer/handler.h"
@@ -188,6 +189,7 @@
   base::Metrics metrics_;
   base::WorkMeter work_meter_;
   query::LogLineLimiter log_line_limiter_;
+  LeavingServerLog leaving_server_log_;
 
   routing::ClusterViewController views_;
   PeerDispatcher peer_dispatcher_;
--- /dev/null
+++ b/Libraries/LibNode/leaving_server_log.cc
@@ -0,0 +1,30 @@
+// Keeps the servers that left until the next line.
+
+#include "LibNode/leaving_server_log.h"
+
+#include <algorithm>
+
+namespace node {
+
+void LeavingServerLog::Add(const std::string& instance, uint64_t revision) {
+  const std::lock_guard lock(mutex_);
+  pending_.push_back(instance + "@" + std::to_string(revision));
+}
+
+void LeavingServerLog::Flush() {
+  std::string servers;
+  {
+    const std::lock_guard lock(mutex_);
+    const auto end =
+        pending_.begin() +
+        static_cast<ptrdiff_t>(std::min(kMaxServersPerLine, pending_.size()));
+    std::for_each(pending_.begin(), end, [&](const std::string& server) {
+      servers += (servers.empty() ? "" : " ") + server;
+    });
+    pending_.erase(pending_.begin(), end);
+  }
+  if (!servers.empty())
+    write_(std::move(servers));
+}
+
+}  // namespace node
