--- a/Libraries/LibMembership/fact_table.cc
+++ b/Libraries/LibMembership/fact_table.cc
@@ -93,8 +93,8 @@
     std::vector<Candidate> candidates,
     size_t max_bytes) {
   std::ranges::sort(candidates, {}, &Candidate::order);
-  const auto others = std::ranges::stable_partition(
-      candidates,
+  const auto others = std::stable_partition(
+      candidates.begin(), candidates.end(),
       [](const Candidate& candidate) { return candidate.entry->is_urgent(); });
   std::vector<const Entry*> page;
   size_t bytes = 0;
@@ -110,10 +110,10 @@
     }
     return next;
   };
-  const auto left = add(candidates.begin(), others.begin(),
-                        others.empty() ? max_bytes : max_bytes / 2);
-  add(others.begin(), others.end(), max_bytes);
-  add(left, others.begin(), max_bytes);
+  const auto left = add(candidates.begin(), others,
+                        others == candidates.end() ? max_bytes : max_bytes / 2);
+  add(others, candidates.end(), max_bytes);
+  add(left, others, max_bytes);
   return page;
 }
 
--- a/Tests/LibNode/connection_warmer_test.cc
+++ b/Tests/LibNode/connection_warmer_test.cc
@@ -18,6 +18,7 @@
 
 constexpr char kZone[] = "a";
 constexpr size_t kServiceCount = 90;
+constexpr size_t kManyServices = 405;
 constexpr base::Duration kRunPeriod = milliseconds(100);
 
 // A node that knows no other at first, and later is one of many of which each
@@ -110,7 +111,6 @@
 // The load pattern: the only host of its zone calls the servers of all
 // services. More than are taken between two searches were never connected to.
 TEST_CASE("each of very many servers is connected to in its turn") {
-  constexpr size_t kManyServices = 405;
   WarmerFixture fixture(kManyServices);
   fixture.RunFor(milliseconds(8000));
   const std::set<std::string> servers(fixture.transport.prepared.begin(),
--- a/Tests/LibNode/leaving_server_log_test.cc
+++ b/Tests/LibNode/leaving_server_log_test.cc
@@ -11,11 +11,12 @@
 namespace node {
 namespace {
 
+constexpr size_t kServers = 364;
+
 TEST_CASE("hundreds of leaving servers take few lines and none is left out") {
   std::vector<std::string> lines;
   LeavingServerLog log(
       [&](std::string servers) { lines.push_back(std::move(servers)); });
-  constexpr size_t kServers = 364;
   for (size_t i = 0; i < kServers; ++i)
     log.Add("i-" + std::to_string(i), 7);
   for (int flush = 0; flush < 20; ++flush)
