--- a/Libraries/LibMembership/fact.h
+++ b/Libraries/LibMembership/fact.h
@@ -31,9 +31,8 @@
 
 // Each fact belongs to one part of one bucket: part `p` is in bucket
 // `p % kFactBucketCount`. The urgent facts are in a bucket of their own. Two
-// nodes compare a
-// hash for each bucket, then one for each part of the buckets that differ, and
-// then the summaries of the facts in the parts that differ.
+// nodes compare a hash for each bucket, then one for each part of the buckets
+// that differ, and then the summaries of the facts in the parts that differ.
 inline constexpr size_t kFactBucketCount = 32;
 inline constexpr size_t kPartsPerBucket = 32;
 inline constexpr size_t kFactPartCount = kFactBucketCount * kPartsPerBucket;
@@ -51,10 +50,9 @@
 
 // A message spreads rumours, or is one of the three steps of a comparison. Each
 // step may also find that there is nothing left to do:
-//   1. `bucket_hashes`: all of them, or beside rumours that of the urgent
-//   facts,
-//      which rumours may miss too, and which must not wait until there are no
-//      rumours left. The reply has `wanted_buckets` and their `part_hashes`.
+//   1. `bucket_hashes`. The reply has `wanted_buckets` and their `part_hashes`.
+//      Beside rumours, this is the hash of the urgent facts only: a node that
+//      the rumour of one missed must not wait until there are none left.
 //   2. `compared_parts` and `summaries`. The reply has the `facts` that its
 //      receiver lacks, and `wanted_facts`.
 //   3. `facts` and, as an echo, `wanted_facts`.
@@ -64,7 +62,7 @@
   std::string sender_address;
   std::vector<Fact> facts;
   BucketHashes bucket_hashes;
-  // The buckets that differ.
+  // In a reply: the buckets that differ.
   std::vector<uint32_t> wanted_buckets;
   // In a reply: the indices of the message's facts that were known already.
   std::vector<uint32_t> known_facts = {};
--- a/Libraries/LibMembership/fact_table.cc
+++ b/Libraries/LibMembership/fact_table.cc
@@ -117,9 +117,10 @@
   return page;
 }
 
-std::vector<Fact> FactTable::FillPage(const std::vector<const Entry*>& entries,
-                                      size_t max_bytes,
-                                      uint64_t seed) {
+std::vector<Fact> FactTable::FillShuffledPage(
+    const std::vector<const Entry*>& entries,
+    size_t max_bytes,
+    uint64_t seed) {
   std::vector<Candidate> candidates;
   for (const Entry* entry : entries)
     candidates.push_back({entry, {base::Mix(entry->key_hash ^ seed), 0}});
@@ -265,7 +266,7 @@
   }
   for (const auto& [key_hash, version] : outdated)
     difference.outdated.push_back(key_hash);
-  difference.newer = FillPage(newer, max_bytes, seed);
+  difference.newer = FillShuffledPage(newer, max_bytes, seed);
   return difference;
 }
 
@@ -281,7 +282,7 @@
     if (wanted.contains(entry.key_hash))
       found.push_back(&entry);
   }
-  return FillPage(found, max_bytes, seed);
+  return FillShuffledPage(found, max_bytes, seed);
 }
 
 std::vector<Fact> FactTable::WithPrefix(std::string_view prefix) {
--- a/Libraries/LibMembership/fact_table.h
+++ b/Libraries/LibMembership/fact_table.h
@@ -124,9 +124,11 @@
   // they are to be sent.
   static std::vector<const Entry*> FillPage(std::vector<Candidate> candidates,
                                             size_t max_bytes);
-  static std::vector<Fact> FillPage(const std::vector<const Entry*>& entries,
-                                    size_t max_bytes,
-                                    uint64_t seed);
+  // Does the same with facts whose order is given by `seed`.
+  static std::vector<Fact> FillShuffledPage(
+      const std::vector<const Entry*>& entries,
+      size_t max_bytes,
+      uint64_t seed);
 
   const std::vector<std::string> urgent_prefixes_;
   std::mutex mutex_;
