Tests: Build controllers with scripted peers in one place

Four tests built the same controller, transport and table, and the comment of one test stood above another. They share a fixture now; a comment no longer tells what once was.

--- a/Tests/LibMembership/membership_controller_test.cc
+++ b/Tests/LibMembership/membership_controller_test.cc
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
 #include <vector>
 
 #include "Fakes/virtual_scheduler.h"
@@ -61,31 +62,44 @@
   base::Scheduler& scheduler_;
 };
 
-TEST_CASE("a member is reported as suspected before it is reported as dead") {
+// A controller of the node "self", whose peers are scripted.
+struct ScriptedPeersFixture {
+  explicit ScriptedPeersFixture(std::vector<std::string> seeds = {"peer:8082"})
+      : controller(MembershipController::Create(MakeMember("self"),
+                                                std::move(seeds),
+                                                {},
+                                                scheduler,
+                                                random,
+                                                facts,
+                                                transport)) {}
+
   fakes::VirtualScheduler scheduler;
-  base::SeededRandom random(1);
-  FakeGossipTransport transport(scheduler);
+  base::SeededRandom random{1};
+  FakeGossipTransport transport{scheduler};
   FactTable facts;
+  const std::shared_ptr<MembershipController> controller;
+};
+
+TEST_CASE("a member is reported as suspected before it is reported as dead") {
+  ScriptedPeersFixture node{std::vector<std::string>()};
   const MembershipRules rules;
-  const auto controller = MembershipController::Create(
-      MakeMember("self"), {}, rules, scheduler, random, facts, transport);
   std::vector<MemberState> reported_states;
-  controller->SetChangeListener([&] {
-    for (const Member& member : controller->Members()) {
+  node.controller->SetChangeListener([&] {
+    for (const Member& member : node.controller->Members()) {
       if (member.node_id == "peer")
         reported_states.push_back(member.state);
     }
   });
-  controller->Start();
-  facts.AddIfNewer(ToFact(MakeMember("peer")));
+  node.controller->Start();
+  node.facts.AddIfNewer(ToFact(MakeMember("peer")));
   REQUIRE(reported_states == std::vector{MemberState::kAlive});
 
-  transport.peers_answer = false;
-  scheduler.RunFor(rules.gossip_period + 3 * rules.probe_timeout);
+  node.transport.peers_answer = false;
+  node.scheduler.RunFor(rules.gossip_period + 3 * rules.probe_timeout);
   REQUIRE(reported_states ==
           std::vector{MemberState::kAlive, MemberState::kSuspect});
 
-  scheduler.RunFor(rules.suspicion_timeout + rules.gossip_period);
+  node.scheduler.RunFor(rules.suspicion_timeout + rules.gossip_period);
   CHECK(reported_states == std::vector{MemberState::kAlive,
                                        MemberState::kSuspect,
                                        MemberState::kDead});
@@ -139,19 +153,13 @@
 }
 
 TEST_CASE("a node tells how many members its peers know") {
-  fakes::VirtualScheduler scheduler;
-  base::SeededRandom random(1);
-  FakeGossipTransport transport(scheduler);
-  FactTable facts;
-  const auto controller =
-      MembershipController::Create(MakeMember("self"), {"peer:8082"}, {},
-                                   scheduler, random, facts, transport);
-  transport.reply.member_count = kNodes;
-  controller->Start();
-  CHECK(controller->MembersOfPeers() == kNodes);
-  transport.reply.member_count = 1;
-  scheduler.RunFor(2 * RecentMax::kPeriod + std::chrono::seconds(1));
-  CHECK(controller->MembersOfPeers() == 1);
+  ScriptedPeersFixture node;
+  node.transport.reply.member_count = kNodes;
+  node.controller->Start();
+  CHECK(node.controller->MembersOfPeers() == kNodes);
+  node.transport.reply.member_count = 1;
+  node.scheduler.RunFor(2 * RecentMax::kPeriod + std::chrono::seconds(1));
+  CHECK(node.controller->MembersOfPeers() == 1);
 }
 
 TEST_CASE("a member that gossips before a node has started is not lost") {
@@ -163,8 +171,6 @@
   CHECK(cluster.CountNodesWithAllMembers() == 2);
 }
 
-// A page of rumours holds some 30 claims, and a configuration has to be in
-// force everywhere while hundreds change.
 TEST_CASE("a peer that has not started does not make a node's facts fresh") {
   GossipCluster cluster(3, 3);
   cluster.controller(0).Start();
@@ -180,6 +186,8 @@
   }
 }
 
+// A page of rumours holds some 30 claims, and a configuration has to be in
+// force everywhere while hundreds change.
 TEST_CASE("an urgent fact does not wait behind others") {
   FactTable facts({"manifest"});
   for (size_t i = 0; i < kNewFacts; ++i)
@@ -206,33 +214,22 @@
 }
 
 TEST_CASE("a seed does not compare facts with itself") {
-  fakes::VirtualScheduler scheduler;
-  base::SeededRandom random(1);
-  FakeGossipTransport transport(scheduler);
-  FactTable facts;
-  const auto controller = MembershipController::Create(
-      MakeMember("self"), {"peer:8082", "self:8082"}, {}, scheduler, random,
-      facts, transport);
+  ScriptedPeersFixture node({"peer:8082", "self:8082"});
   for (int i = 0; i < 20; ++i)
-    controller->Synchronize([] {});
-  CHECK(transport.asked_peers == std::set<std::string>{"peer:8082"});
+    node.controller->Synchronize([] {});
+  CHECK(node.transport.asked_peers == std::set<std::string>{"peer:8082"});
 }
 
 TEST_CASE("a comparison of facts sends nothing back and spreads nothing") {
-  fakes::VirtualScheduler scheduler;
-  base::SeededRandom random(1);
-  FakeGossipTransport transport(scheduler);
-  FactTable facts;
-  const auto controller =
-      MembershipController::Create(MakeMember("self"), {"peer:8082"}, {},
-                                   scheduler, random, facts, transport);
-  transport.facts_reply.facts = {{"claim/1", {1, 0}, "old news"}};
-  transport.reply.wanted_buckets = {0, 1, 2, 3};
-  transport.reply.part_hashes = std::vector<uint64_t>(4 * kPartsPerBucket, 1);
-  controller->Synchronize([] {});
-  CHECK(facts.size() == 1);
-  CHECK_FALSE(facts.has_rumours());
-  CHECK(transport.sent_facts == 0);
+  ScriptedPeersFixture node;
+  node.transport.facts_reply.facts = {{"claim/1", {1, 0}, "old news"}};
+  node.transport.reply.wanted_buckets = {0, 1, 2, 3};
+  node.transport.reply.part_hashes =
+      std::vector<uint64_t>(4 * kPartsPerBucket, 1);
+  node.controller->Synchronize([] {});
+  CHECK(node.facts.size() == 1);
+  CHECK_FALSE(node.facts.has_rumours());
+  CHECK(node.transport.sent_facts == 0);
 }
 
 }  // namespace
--- a/Tests/LibNode/connection_warmer_test.cc
+++ b/Tests/LibNode/connection_warmer_test.cc
@@ -109,7 +109,7 @@
 }
 
 // The load pattern: the only host of its zone calls the servers of all
-// services. More than are taken between two searches were never connected to.
+// services, which are more than it connects to between two searches.
 TEST_CASE("each of very many servers is connected to in its turn") {
   WarmerFixture fixture(kManyServices);
   fixture.RunFor(milliseconds(8000));
