Tests: Play outages and restores of the store against real processes

Its answers name their era.

Hosts inherited the sockets of the stand-ins, so that a store that had gone away could not listen again. They close them now.

--- a/Tests/platform/soak/fleet.cc
+++ b/Tests/platform/soak/fleet.cc
@@ -91,6 +91,8 @@
   const int fd = open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, kLogMode);
   dup2(fd, STDOUT_FILENO);
   dup2(fd, STDERR_FILENO);
+  // The host must not keep the addresses of the stand-ins in use.
+  close_range(STDERR_FILENO + 1, ~0U, 0);
   execl(program_.c_str(), program_.c_str(), "front", nullptr);
   _exit(EXIT_FAILURE);
 }
--- a/Tests/platform/soak/judge.cc
+++ b/Tests/platform/soak/judge.cc
@@ -7,6 +7,8 @@
 #include <map>
 #include <string>
 
+#include "LibHttp/message.h"
+
 namespace soak {
 
 namespace {
@@ -88,6 +90,17 @@
   return grouped;
 }
 
+// Whether the store had been answering for long enough that hosts must know
+// what it acknowledged.
+bool IsStoreStable(const Observation& observation,
+                   base::Instant moment,
+                   const RuleBounds& bounds) {
+  return std::ranges::none_of(
+      observation.store_outages, [&](const StoreOutage& outage) {
+        return moment >= outage.begin && moment <= outage.end + bounds.stable;
+      });
+}
+
 // Whether the attempt's connection was cut by something other than an unplanned
 // disruption or the end of the client's time.
 bool IsCut(const ClientAttempt& attempt,
@@ -147,4 +160,47 @@
                   base::Instant::max())};
 }
 
+ProbeVerdict JudgeProbes(const Observation& observation,
+                         const RuleBounds& bounds) {
+  ProbeVerdict verdict;
+  for (const ConfigurationProbe& probe : observation.probes) {
+    if (probe.status == 0 || !IsStoreStable(observation, probe.sent, bounds))
+      continue;
+    uint64_t due = 0;  // The version that is in force at least.
+    uint64_t newest = 0;
+    for (const PublishedVersion& published : observation.versions) {
+      if (published.acknowledged + bounds.apply <= probe.sent)
+        due = std::max(due, published.version);
+      if (published.acknowledged <= probe.ended)
+        newest = std::max(newest, published.version);
+    }
+    const bool is_route_missing = probe.status == http::kStatusNotFound;
+    const bool must_be_served = probe.version == due && probe.version == newest;
+    const bool must_be_missing = probe.version < due;
+    if (!must_be_served && !must_be_missing)
+      continue;
+    ++verdict.judged;
+    if (is_route_missing ? must_be_served
+                         : must_be_missing && probe.status == kStatusOk)
+      verdict.stale.push_back(probe);
+  }
+  return verdict;
+}
+
+std::vector<ServerRun> FindRunsAfterDeparture(const Observation& observation,
+                                              const RuleBounds& bounds) {
+  std::vector<ServerRun> late;
+  std::ranges::copy_if(
+      observation.runs, std::back_inserter(late), [&](const ServerRun& run) {
+        return IsStoreStable(observation, run.arrived, bounds) &&
+               std::ranges::any_of(
+                   observation.departures,
+                   [&](const ServerDeparture& departure) {
+                     return departure.instance == run.instance &&
+                            run.arrived > departure.acknowledged + bounds.drain;
+                   });
+      });
+  return late;
+}
+
 }  // namespace soak
--- a/Tests/platform/soak/judge.h
+++ b/Tests/platform/soak/judge.h
@@ -1,4 +1,5 @@
-// Judges what a soak saw by the platform's rules LOST and RECOVER.
+// Judges what a soak saw by the platform's rules LOST, RECOVER, CONFIG and
+// DRAIN.
 
 #ifndef SOAK_JUDGE_H_
 #define SOAK_JUDGE_H_
@@ -20,6 +21,10 @@
   // A host may close a connection this soon after a request was sent, if it has
   // not passed the request on.
   base::Duration loss_slack = std::chrono::milliseconds(200);
+  // How long after its acknowledgement a configuration is in force.
+  base::Duration apply = std::chrono::seconds(3);
+  // How long after its acknowledgement a departure keeps new work away.
+  base::Duration drain = std::chrono::seconds(3);
 
   bool operator==(const RuleBounds&) const = default;
 };
@@ -71,6 +76,22 @@
 std::optional<Recovery> JudgeRecovery(const Observation& observation,
                                       const RuleBounds& bounds);
 
+// The rule CONFIG: returns the probes that were answered as only an older
+// version allows, and counts those that had a bound to keep.
+struct ProbeVerdict {
+  size_t judged = 0;
+  std::vector<ConfigurationProbe> stale;
+
+  bool operator==(const ProbeVerdict&) const = default;
+};
+ProbeVerdict JudgeProbes(const Observation& observation,
+                         const RuleBounds& bounds);
+
+// The rule DRAIN: returns the runs that reached a server too long after its
+// departure.
+std::vector<ServerRun> FindRunsAfterDeparture(const Observation& observation,
+                                              const RuleBounds& bounds);
+
 }  // namespace soak
 
 #endif  // SOAK_JUDGE_H_
--- a/Tests/platform/soak/judge_test.cc
+++ b/Tests/platform/soak/judge_test.cc
@@ -89,5 +89,49 @@
   CHECK(JudgeRecovery(observation, {})->is_kept());
 }
 
+TEST_CASE("a probe must be answered as the newest version that is due allows") {
+  Observation observation;
+  observation.versions = {{1, kStop - seconds(60)}, {2, kStop}};
+  const auto stale_count = [&](uint64_t version, base::Duration sent,
+                               int status) {
+    observation.probes = {{kAddress, version, kStop + sent,
+                           kStop + sent + milliseconds(5), status}};
+    return JudgeProbes(observation, {}).stale.size();
+  };
+  CHECK(stale_count(2, seconds(2), 404) == 0);  // Not due yet.
+  CHECK(stale_count(2, seconds(3), 404) == 1);
+  CHECK(stale_count(2, seconds(3), 503) == 0);  // Says nothing of the version.
+  CHECK(stale_count(2, seconds(3), 200) == 0);
+  CHECK(stale_count(1, seconds(3), 200) == 1);
+  CHECK(stale_count(1, seconds(3), 404) == 0);
+  // A newer version may be in force already.
+  observation.versions.push_back({3, kStop + seconds(4)});
+  CHECK(stale_count(2, seconds(5), 404) == 0);
+  CHECK(stale_count(1, seconds(5), 200) == 1);
+  // The store was away until shortly before.
+  observation.store_outages = {{kStop, kStop + seconds(2)}};
+  CHECK(stale_count(1, seconds(5), 200) == 0);
+  CHECK(stale_count(1, seconds(7), 200) == 1);
+}
+
+TEST_CASE("a server gets no work once its departure has had time to spread") {
+  Observation observation;
+  observation.departures = {{"i-1", kStop}};
+  const auto late_count = [&](const std::string& instance,
+                              base::Duration arrived) {
+    ServerRun run;
+    run.instance = instance;
+    run.arrived = kStop + arrived;
+    observation.runs = {run};
+    return FindRunsAfterDeparture(observation, {}).size();
+  };
+  CHECK(late_count("i-1", seconds(3)) == 0);
+  CHECK(late_count("i-1", milliseconds(3001)) == 1);
+  CHECK(late_count("i-2", milliseconds(3001)) == 0);
+  observation.store_outages = {{kStop + seconds(1), kStop + seconds(2)}};
+  CHECK(late_count("i-1", seconds(6)) == 0);
+  CHECK(late_count("i-1", milliseconds(6001)) == 1);
+}
+
 }  // namespace
 }  // namespace soak
--- a/Tests/platform/soak/main.cc
+++ b/Tests/platform/soak/main.cc
@@ -9,6 +9,7 @@
 #include "LibBase/log.h"
 #include "report.h"
 #include "soak.h"
+#include "store_drill.h"
 
 namespace {
 
@@ -48,7 +49,10 @@
   const auto deployment =
       options ? soak::FindDeployment(options->deployment) : std::nullopt;
   const auto plan = options ? soak::FindStopPlan(options->plan) : std::nullopt;
-  if (!deployment || !plan) {
+  const auto drill =
+      options ? soak::FindDrillPlan(options->drill) : std::nullopt;
+  const bool is_drill_unknown = options && !options->drill.empty() && !drill;
+  if (!deployment || !plan || is_drill_unknown) {
     std::cerr << soak::UsageText();
     return kExitCouldNotRun;
   }
@@ -65,7 +69,7 @@
   }
   int code = kExitCouldNotRun;
   {
-    soak::Soak soak(*options, *deployment, *plan);
+    soak::Soak soak(*options, *deployment, *plan, drill);
     code = Run(soak);
   }
   if (has_own_folder && code == kExitHeld)
--- a/Tests/platform/soak/observation.cc
+++ b/Tests/platform/soak/observation.cc
@@ -26,6 +26,26 @@
   observation_.outages.push_back(outage);
 }
 
+void Recorder::Add(StoreOutage outage) {
+  const std::lock_guard lock(mutex_);
+  observation_.store_outages.push_back(outage);
+}
+
+void Recorder::Add(PublishedVersion version) {
+  const std::lock_guard lock(mutex_);
+  observation_.versions.push_back(version);
+}
+
+void Recorder::Add(ConfigurationProbe probe) {
+  const std::lock_guard lock(mutex_);
+  observation_.probes.push_back(std::move(probe));
+}
+
+void Recorder::Add(ServerDeparture departure) {
+  const std::lock_guard lock(mutex_);
+  observation_.departures.push_back(std::move(departure));
+}
+
 Observation Recorder::Snapshot() {
   const std::lock_guard lock(mutex_);
   return observation_;
--- a/Tests/platform/soak/observation.h
+++ b/Tests/platform/soak/observation.h
@@ -3,6 +3,7 @@
 #ifndef SOAK_OBSERVATION_H_
 #define SOAK_OBSERVATION_H_
 
+#include <cstdint>
 #include <mutex>
 #include <string>
 #include <vector>
@@ -64,11 +65,52 @@
   bool operator==(const UnplannedOutage&) const = default;
 };
 
+// A span in which the store answered no calls.
+struct StoreOutage {
+  base::Instant begin;
+  base::Instant end;
+
+  bool operator==(const StoreOutage&) const = default;
+};
+
+// A configuration that the store acknowledged. Each version has a route that no
+// other version has.
+struct PublishedVersion {
+  uint64_t version = 0;
+  base::Instant acknowledged;
+
+  bool operator==(const PublishedVersion&) const = default;
+};
+
+// A request to a host on the route of one version, whose answer shows whether
+// the version is in force there.
+struct ConfigurationProbe {
+  std::string address;
+  uint64_t version = 0;
+  base::Instant sent;
+  base::Instant ended;
+  int status = 0;  // 0 if there was no answer.
+
+  bool operator==(const ConfigurationProbe&) const = default;
+};
+
+// A server's announcement, acknowledged by the store, that it is leaving.
+struct ServerDeparture {
+  std::string instance;
+  base::Instant acknowledged;
+
+  bool operator==(const ServerDeparture&) const = default;
+};
+
 struct Observation {
   std::vector<ClientAttempt> attempts;
   std::vector<ServerRun> runs;
   std::vector<PlannedStop> stops;
   std::vector<UnplannedOutage> outages;
+  std::vector<StoreOutage> store_outages;
+  std::vector<PublishedVersion> versions;  // In rising order.
+  std::vector<ConfigurationProbe> probes;
+  std::vector<ServerDeparture> departures;
 
   bool operator==(const Observation&) const = default;
 };
@@ -80,6 +122,10 @@
   void Add(ServerRun run);
   void Add(PlannedStop stop);
   void Add(UnplannedOutage outage);
+  void Add(StoreOutage outage);
+  void Add(PublishedVersion version);
+  void Add(ConfigurationProbe probe);
+  void Add(ServerDeparture departure);
   Observation Snapshot();
 
  private:
--- a/Tests/platform/soak/report.cc
+++ b/Tests/platform/soak/report.cc
@@ -64,7 +64,12 @@
     std::cout << "RECOVER before " << recovery->before.served << " of "
               << recovery->before.sent << ", after " << recovery->after.served
               << " of " << recovery->after.sent << "\n";
-  return lost.empty() && (!recovery || recovery->is_kept());
+  const ProbeVerdict probes = JudgeProbes(seen, bounds);
+  const auto after_departure = FindRunsAfterDeparture(seen, bounds);
+  std::cout << "CONFIG " << probes.stale.size() << " of " << probes.judged
+            << " probes, DRAIN " << after_departure.size() << "\n";
+  return lost.empty() && (!recovery || recovery->is_kept()) &&
+         probes.stale.empty() && after_departure.empty();
 }
 
 }  // namespace soak
--- a/Tests/platform/soak/scenario.cc
+++ b/Tests/platform/soak/scenario.cc
@@ -137,13 +137,17 @@
   return names;
 }
 
+std::string VersionPathPrefix(uint64_t version) {
+  return "/added" + std::to_string(version) + "/";
+}
+
 std::string MakeConfiguration(const Deployment& deployment, uint64_t version) {
   json routes = json::array();
   for (size_t kind = 0; kind < deployment.kinds.size(); ++kind)
     routes.push_back(MakeRoute(deployment, kind));
   json added = MakeRoute(deployment, deployment.kinds.size() - 1);
   added["name"] = "added" + std::to_string(version);
-  added["prefix"] = "/added" + std::to_string(version) + "/";
+  added["prefix"] = VersionPathPrefix(version);
   routes.push_back(std::move(added));
   json services = json::array();
   for (size_t shard = 0; shard < deployment.shards; ++shard)
--- a/Tests/platform/soak/scenario.h
+++ b/Tests/platform/soak/scenario.h
@@ -43,6 +43,8 @@
 // Returns the text of a configuration, in the platform's format. Besides the
 // deployment's routes, each version has a route of its own.
 std::string MakeConfiguration(const Deployment& deployment, uint64_t version);
+// Returns the path prefix of the route that only this version has.
+std::string VersionPathPrefix(uint64_t version);
 
 // How hosts are stopped and started.
 enum class StopPlan : uint8_t {
--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -9,6 +9,7 @@
 #include <array>
 #include <boost/asio/post.hpp>
 #include <csignal>
+#include <iterator>
 #include <thread>
 #include <utility>
 
@@ -63,10 +64,14 @@
 
 }  // namespace
 
-Soak::Soak(const SoakOptions& options, Deployment deployment, StopPlan plan)
+Soak::Soak(const SoakOptions& options,
+           Deployment deployment,
+           StopPlan plan,
+           std::optional<DrillPlan> drill)
     : options_(options),
       deployment_(std::move(deployment)),
       plan_(plan),
+      drill_plan_(std::move(drill)),
       random_(options.seed),
       store_address_(Network() + "1:" + std::to_string(kFirstHostPort)),
       next_server_port_(kFirstServerPort) {
@@ -88,6 +93,8 @@
   TickFor(kLeadTime);
   const base::Instant end =
       base::MonotonicClock::now() + seconds(options_.seconds);
+  if (drill_plan_)
+    PlayDrill();
   while (base::MonotonicClock::now() < end)
     PlayRound();
   TickFor(kLeadTime + RuleBounds().grace);
@@ -133,14 +140,36 @@
   boost::asio::post(server_thread_.io(), [this] {
     for (const auto& server : servers_)
       store_->Put(wire::kServersPrefix + server->options().instance,
-                  server->Entry());
+                  server->NextEntry());
     PutConfiguration();
   });
 }
 
 void Soak::PutConfiguration() {
-  store_->Put(wire::kConfigurationPrefix,
-              MakeConfiguration(deployment_, ++version_));
+  store_->Put(wire::kConfigurationPrefix, NextConfiguration());
+}
+
+std::string Soak::NextConfiguration() {
+  return MakeConfiguration(deployment_, ++version_);
+}
+
+void Soak::PlayDrill() {
+  std::vector<std::string> addresses;
+  std::ranges::transform(fleet_options_.hosts, std::back_inserter(addresses),
+                         &HostOptions::caller_address);
+  prober_ = std::make_unique<Prober>(client_thread_.io(), std::move(addresses),
+                                     version_, recorder_);
+  std::vector<StandInServer*> servers;
+  for (const auto& server : servers_)
+    servers.push_back(server.get());
+  drill_ = std::make_shared<StoreDrill>(
+      server_thread_.io(), *drill_plan_, *store_, std::move(servers),
+      [this] { return NextConfiguration(); },
+      [this] { return version_.load(); }, recorder_);
+  boost::asio::post(client_thread_.io(), [this] { prober_->Start(); });
+  boost::asio::post(server_thread_.io(), [this] { drill_->Start(); });
+  TickFor(drill_->duration());
+  boost::asio::post(client_thread_.io(), [this] { prober_->Stop(); });
 }
 
 void Soak::CreateFleet() {
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -3,9 +3,11 @@
 #ifndef SOAK_SOAK_H_
 #define SOAK_SOAK_H_
 
+#include <atomic>
 #include <cstddef>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -14,16 +16,21 @@
 #include "fleet.h"
 #include "io_thread.h"
 #include "observation.h"
+#include "prober.h"
 #include "scenario.h"
 #include "soak_options.h"
 #include "stand_in_server.h"
 #include "stand_in_store.h"
+#include "store_drill.h"
 
 namespace soak {
 
 class Soak {
  public:
-  Soak(const SoakOptions& options, Deployment deployment, StopPlan plan);
+  Soak(const SoakOptions& options,
+       Deployment deployment,
+       StopPlan plan,
+       std::optional<DrillPlan> drill);
   ~Soak();
 
   // Plays the scenario to its end. Returns false if the hosts did not become
@@ -41,6 +48,9 @@
   void CreateFleet();
   void StartClients();
   void PutConfiguration();
+  std::string NextConfiguration();
+  // Plays a drill of the store, once.
+  void PlayDrill();
   // Returns the directories of all hosts, those of the zone first.
   std::vector<std::string> DirectoriesFor(const std::string& zone);
   void PlayRound();
@@ -53,6 +63,7 @@
   const SoakOptions options_;
   const Deployment deployment_;
   const StopPlan plan_;
+  const std::optional<DrillPlan> drill_plan_;
   base::SeededRandom random_;
   Recorder recorder_;
   // Declared before the objects that use them, and stopped before these are
@@ -61,7 +72,7 @@
   IoThread client_thread_;
   const std::string store_address_;
   int next_server_port_;
-  uint64_t version_ = 0;
+  std::atomic<uint64_t> version_ = 0;
   size_t next_host_ = 0;
   size_t outages_ = 0;
   base::Instant next_disturbance_{};
@@ -69,6 +80,8 @@
   std::unique_ptr<StandInStore> store_;
   std::vector<std::unique_ptr<StandInServer>> servers_;
   std::vector<std::shared_ptr<Client>> clients_;
+  std::unique_ptr<Prober> prober_;
+  std::shared_ptr<StoreDrill> drill_;
   std::unique_ptr<Fleet> fleet_;
 };
 
--- a/Tests/platform/soak/soak_options.cc
+++ b/Tests/platform/soak/soak_options.cc
@@ -11,13 +11,15 @@
 #include <vector>
 
 #include "scenario.h"
+#include "store_drill.h"
 
 namespace soak {
 
 namespace {
 
 constexpr char kUsage[] =
-    "usage: celerycroft-soak [--deployment NAME] [--plan NAME] [--seed N]\n"
+    "usage: celerycroft-soak [--deployment NAME] [--plan NAME | --drill NAME] "
+    "[--seed N]\n"
     "  [--load FACTOR] [--work FACTOR] [--share SHARE] [--seconds N] "
     "[--disturb]\n"
     "  [--program FILE] [--template FILE] [--folder DIR]\n";
@@ -27,7 +29,8 @@
 std::string UsageText() {
   return std::string(kUsage) +
          "deployments: " + boost::join(DeploymentNames(), ", ") +
-         "\nplans: " + boost::join(StopPlanNames(), ", ") + "\n";
+         "\nplans: " + boost::join(StopPlanNames(), ", ") +
+         "\ndrills: " + boost::join(DrillPlanNames(), ", ") + "\n";
 }
 
 std::optional<SoakOptions> ParseOptions(int argc, char** argv) {
@@ -35,6 +38,11 @@
   const std::map<std::string, std::function<void(const std::string&)>> setters =
       {{"deployment", [&](const auto& text) { options.deployment = text; }},
        {"plan", [&](const auto& text) { options.plan = text; }},
+       {"drill",
+        [&](const auto& text) {
+          options.drill = text;
+          options.plan = "none";
+        }},
        {"program", [&](const auto& text) { options.program = text; }},
        {"template", [&](const auto& text) { options.template_file = text; }},
        {"folder", [&](const auto& text) { options.folder = text; }},
--- a/Tests/platform/soak/soak_options.h
+++ b/Tests/platform/soak/soak_options.h
@@ -12,6 +12,7 @@
 struct SoakOptions {
   std::string deployment = "nabiralnica-iskanje";
   std::string plan = "turn";
+  std::string drill;  // Of the store, in place of stops of hosts; may be empty.
   std::string program = "build/celerycroft";
   std::string template_file = "deploy/front.json";
   std::string folder;
--- a/Tests/platform/soak/stand_in_server.cc
+++ b/Tests/platform/soak/stand_in_server.cc
@@ -71,15 +71,15 @@
   server_ = *std::move(server);
 }
 
-std::string StandInServer::Entry() const {
+std::string StandInServer::NextEntry(bool is_leaving) {
   return nlohmann::json{{"service", options_.service},
                         {"address", options_.address},
                         {"zone", options_.availability_zone},
                         {"version", "v1"},
                         {"slots", options_.slots},
-                        {"state", "ready"},
+                        {"state", is_leaving ? "draining" : "ready"},
                         {"cold_remaining_ms", 0},
-                        {"sequence", 1},
+                        {"sequence", ++sequence_},
                         {"born", kStartTime}}
       .dump();
 }
--- a/Tests/platform/soak/stand_in_server.h
+++ b/Tests/platform/soak/stand_in_server.h
@@ -36,8 +36,8 @@
                 base::Random& random,
                 Recorder& recorder);
 
-  // Returns the server's entry in the store.
-  std::string Entry() const;
+  // Returns the server's next entry in the store.
+  std::string NextEntry(bool is_leaving = false);
   const ServerOptions& options() const { return options_; }
 
  private:
@@ -57,6 +57,7 @@
   base::Random& random_;
   Recorder& recorder_;
   base::AsioScheduler scheduler_;
+  uint64_t sequence_ = 0;  // Of the last entry.
   size_t running_ = 0;
   std::deque<JobPtr> waiting_;
   std::unique_ptr<http::Server> server_;
--- a/Tests/platform/soak/stand_in_store.cc
+++ b/Tests/platform/soak/stand_in_store.cc
@@ -53,9 +53,13 @@
 
 StandInStore::StandInStore(boost::asio::io_context& io,
                            const std::string& address)
-    : scheduler_(io) {
+    : io_(io), address_(address), scheduler_(io) {
+  Listen();
+}
+
+void StandInStore::Listen() {
   auto server = http::Server::Create(
-      io, address, {}, [this](const auto& request, auto respond) {
+      io_, address_, {}, [this](const auto& request, auto respond) {
         scheduler_.After(kAnswerTime,
                          [this, request, respond = std::move(respond)] {
                            Handle(request, respond);
@@ -67,7 +71,22 @@
 }
 
 void StandInStore::Put(const std::string& key, const std::string& value) {
-  items_[key] = {value, ++revision_};
+  Change(key, value);
+}
+
+void StandInStore::Remove(const std::string& key) {
+  if (contents_.items.contains(key))
+    Change(key, std::nullopt);
+}
+
+void StandInStore::Change(const std::string& key,
+                          std::optional<std::string> value) {
+  ++contents_.revision;
+  if (value)
+    contents_.items[key] = {*value, contents_.revision};
+  else
+    contents_.items.erase(key);
+  contents_.history.push_back({key, std::move(value), contents_.revision});
   const auto has_news = [this](const auto& watch) { return HasNews(*watch); };
   std::vector<std::shared_ptr<Watch>> due;
   std::ranges::copy_if(watches_, std::back_inserter(due), has_news);
@@ -75,8 +94,28 @@
   std::ranges::for_each(due, [this](const auto& watch) { Answer(*watch); });
 }
 
+void StandInStore::GoAway() {
+  server_ = nullptr;
+  for (const auto& watch : std::exchange(watches_, {}))
+    watch->respond(MakeResponse(http::kStatusUnavailable, ""));
+}
+
+void StandInStore::Return() {
+  Listen();
+}
+
+void StandInStore::ReturnFrom(Contents copy) {
+  contents_ = std::move(copy);
+  ++era_;
+  Listen();
+}
+
 void StandInStore::Handle(const http::Request& request,
-                          http::Responder respond) {
+                          const http::Responder& respond) {
+  if (!server_) {
+    respond(MakeResponse(http::kStatusUnavailable, ""));
+    return;
+  }
   const std::string prefix = http::QueryParameter(request.target, "prefix");
   const std::string after = http::QueryParameter(request.target, "after");
   if (http::Path(request.target) == wire::kRangePath) {
@@ -85,23 +124,35 @@
   }
   const std::chrono::milliseconds wait(
       ParseNumber(http::QueryParameter(request.target, "wait_ms")));
-  StartWatch({prefix, ParseNumber(after), std::move(respond)}, wait);
+  StartWatch({prefix, ParseNumber(after), respond}, wait);
+}
+
+http::Response StandInStore::MakeResponse(int status, std::string body) const {
+  http::Response response;
+  response.status = status;
+  response.headers = {{wire::kStoreEra, std::to_string(era_)}};
+  response.body = std::move(body);
+  return response;
 }
 
 http::Response StandInStore::List(const std::string& prefix,
                                   const std::string& after_key) {
   json items = json::array();
-  for (const auto& [key, item] : items_) {
+  for (const auto& [key, item] : contents_.items) {
     if (key.starts_with(prefix) && key > after_key)
       items.push_back(ToJson(key, item.value, item.revision));
   }
-  http::Response response;
-  response.body =
-      json{{"items", items}, {"has_more", false}, {"at_rev", revision_}}.dump();
-  return response;
+  return MakeResponse(http::kStatusOk, json{{"items", items},
+                                            {"has_more", false},
+                                            {"at_rev", contents_.revision}}
+                                           .dump());
 }
 
 void StandInStore::StartWatch(Watch watch, base::Duration wait) {
+  if (watch.after > contents_.revision) {
+    watch.respond(MakeResponse(http::kStatusGone, ""));
+    return;
+  }
   if (HasNews(watch)) {
     Answer(watch);
     return;
@@ -114,21 +165,27 @@
 }
 
 bool StandInStore::HasNews(const Watch& watch) const {
-  return std::ranges::any_of(items_, [&](const auto& entry) {
-    return entry.first.starts_with(watch.prefix) &&
-           entry.second.revision > watch.after;
-  });
+  return std::ranges::any_of(contents_.history,
+                             [&](const Contents::Change& change) {
+                               return change.key.starts_with(watch.prefix) &&
+                                      change.revision > watch.after;
+                             });
 }
 
 void StandInStore::Answer(const Watch& watch) {
   json events = json::array();
-  for (const auto& [key, item] : items_) {
-    if (key.starts_with(watch.prefix) && item.revision > watch.after)
-      events.push_back(ToJson(key, item.value, item.revision));
+  for (const auto& [key, value, revision] : contents_.history) {
+    if (!key.starts_with(watch.prefix) || revision <= watch.after)
+      continue;
+    if (value)
+      events.push_back(ToJson(key, *value, revision));
+    else
+      events.push_back(
+          {{"key", key}, {"revision", revision}, {"deleted", true}});
   }
-  http::Response response;
-  response.body = json{{"events", events}, {"at_rev", revision_}}.dump();
-  watch.respond(std::move(response));
+  watch.respond(MakeResponse(
+      http::kStatusOk,
+      json{{"events", events}, {"at_rev", contents_.revision}}.dump()));
 }
 
 }  // namespace soak
