LibPlatform: Log the store's era and revisions, and entries passed over

Hypotheses about an incident could not be told apart: logs named neither the era nor the revision of the store, nor an entry that was ignored as older than what is known. Revisions of the store are now values of a number and an era, which the platform's client reads from the store's answers. They are compared by number as before: no decision changes.

Events 205 (era changed), 206 (entries ignored as older), 207 (invalid era), the revision in 203; metrics celerycroft_store_revision, celerycroft_store_era and celerycroft_store_entries_outdated_total.

--- a/Libraries/LibBase/log.cc
+++ b/Libraries/LibBase/log.cc
@@ -63,6 +63,13 @@
      "The key-value service answers again."},
     {Event::kStoreReadFailed, Severity::kWarning, "store_read_failed",
      "A call to the key-value service got no usable answer."},
+    {Event::kStoreEraChanged, Severity::kWarning, "store_era_changed",
+     "The key-value service came back from an older copy of its contents."},
+    {Event::kStoreEntriesOutdated, Severity::kWarning, "store_entries_outdated",
+     "Entries of the key-value service were ignored as older than what is "
+     "known."},
+    {Event::kStoreEraRejected, Severity::kWarning, "store_era_rejected",
+     "An answer of the key-value service names an invalid era."},
     {Event::kPeerSuspected, Severity::kWarning, "peer_suspected",
      "A peer did not answer a probe."},
     {Event::kPeerDead, Severity::kWarning, "peer_dead",
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -279,7 +279,7 @@
   }
   config::Manifest manifest;
   manifest.revision = configuration->revision;
-  manifest.publication_id = event.key + "@" + std::to_string(event.revision);
+  manifest.publication_id = event.key + "@" + base::ToString(event.revision);
   manifest.content_digest = base::Sha256Hex(*event.value);
   manifest.summary = "routes";
   configuration_->InstallIfNewer(manifest, *event.value,
@@ -459,17 +459,18 @@
       });
 }
 
-std::map<std::string, uint64_t> ForwardCore::ConfigurationFromPeers() {
+std::map<std::string, base::StoreRevision>
+ForwardCore::ConfigurationFromPeers() {
   if (!configuration_->Current()->routes)
     return {};
-  return {{settings_.configuration_prefix, 0}};
+  return {{settings_.configuration_prefix, {}}};
 }
 
-std::map<std::string, uint64_t> ForwardCore::ClaimsFromPeers() {
-  std::map<std::string, uint64_t> revisions;
+std::map<std::string, base::StoreRevision> ForwardCore::ClaimsFromPeers() {
+  std::map<std::string, base::StoreRevision> revisions;
   for (const upstream::ServerClaim& claim : server_registry_.Dump()) {
     if (claim.server)
-      revisions[settings_.registry_prefix + claim.instance] = claim.revision;
+      revisions[settings_.registry_prefix + claim.instance] = {claim.revision};
   }
   return revisions;
 }
@@ -568,21 +569,30 @@
   const auto gauge = [](std::string_view name, uint64_t value) {
     return std::string(name) + " " + std::to_string(value) + "\n";
   };
-  // Only the nodes that read the store have an age.
-  const auto age_gauge = [&](const std::string& task,
-                             platform::PrefixFollower& follower) {
+  // Only the nodes that read the store have an age, a revision and an era.
+  const auto store_gauges = [&](const std::string& task,
+                                platform::PrefixFollower& follower) {
+    const std::string label = "{task=\"" + task + "\"}";
+    const std::string outdated =
+        gauge("celerycroft_store_entries_outdated_total" + label,
+              follower.outdated_entry_count());
     const auto age = follower.Age();
-    return age ? gauge(
-                     "celerycroft_store_read_age_ms{task=\"" + task + "\"}",
-                     std::chrono::duration_cast<std::chrono::milliseconds>(*age)
-                         .count())
-               : "";
+    if (!age)
+      return outdated;
+    const base::StoreRevision revision = follower.LastRevision();
+    return outdated +
+           gauge("celerycroft_store_read_age_ms" + label,
+                 std::chrono::duration_cast<std::chrono::milliseconds>(*age)
+                     .count()) +
+           gauge("celerycroft_store_revision" + label, revision.number) +
+           (revision.era ? gauge("celerycroft_store_era" + label, *revision.era)
+                         : "");
   };
   return metrics_.ToPrometheusText() +
          gauge("celerycroft_configuration_revision",
                configuration_->Current()->revision) +
-         age_gauge("configuration", *configuration_follower_) +
-         age_gauge("registry", *registry_follower_) +
+         store_gauges("configuration", *configuration_follower_) +
+         store_gauges("registry", *registry_follower_) +
          gauge("celerycroft_limited_servers",
                server_limiter_.limited_server_count()) +
          gauge("celerycroft_running_requests", running_request_count_) +
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -168,8 +168,8 @@
   bool IsZoneWatcher(const std::string& task);
   // Return what this node knows of the entries of the store, whether it read
   // them or learned of them from peers: the revision of each, by key.
-  std::map<std::string, uint64_t> ConfigurationFromPeers();
-  std::map<std::string, uint64_t> ClaimsFromPeers();
+  std::map<std::string, base::StoreRevision> ConfigurationFromPeers();
+  std::map<std::string, base::StoreRevision> ClaimsFromPeers();
   // Executes work that another node has delegated, if it is of the
   // configuration in force and this node has time for it.
   void ExecuteDelegated(query::LeafRequest request,
--- a/Libraries/LibPlatform/entry_store.h
+++ b/Libraries/LibPlatform/entry_store.h
@@ -4,13 +4,13 @@
 #ifndef LIBPLATFORM_ENTRY_STORE_H_
 #define LIBPLATFORM_ENTRY_STORE_H_
 
-#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 #include <vector>
 
 #include "LibBase/error.h"
+#include "LibBase/store_revision.h"
 #include "LibBase/time.h"
 
 namespace platform {
@@ -18,14 +18,14 @@
 struct StoreEntry {
   std::string key;
   std::string value;
-  uint64_t revision = 0;  // The store's revision at the entry's last write.
+  base::StoreRevision revision;  // The store's at the entry's last write.
 
   bool operator==(const StoreEntry&) const = default;
 };
 
 struct StorePage {
   std::vector<StoreEntry> entries;
-  uint64_t store_revision = 0;
+  base::StoreRevision store_revision;
   bool has_more = false;  // Whether entries follow after the last key.
 
   bool operator==(const StorePage&) const = default;
@@ -33,7 +33,7 @@
 
 struct StoreEvent {
   std::string key;
-  uint64_t revision = 0;             // The store's revision at the change.
+  base::StoreRevision revision;      // The store's at the change.
   std::optional<std::string> value;  // nullopt if the entry was removed.
 
   bool operator==(const StoreEvent&) const = default;
@@ -41,7 +41,8 @@
 
 struct StoreChanges {
   std::vector<StoreEvent> events;
-  uint64_t store_revision = 0;  // Where the next watch continues.
+  // Where the next watch continues. If the history is lost, only the era.
+  base::StoreRevision store_revision;
   // Whether the store no longer has all changes after the requested revision,
   // so that the entries must be listed again.
   bool is_history_lost = false;
@@ -72,9 +73,10 @@
 
   using ChangesCallback = std::function<void(base::Result<StoreChanges>)>;
   // Calls back with the changes under `prefix` after `revision` as soon as
-  // there are any, or with none after `wait`.
+  // there are any, or with none after `wait`. The store compares the number of
+  // `revision` only; the answer shows the era in which it did.
   virtual void Watch(const std::string& prefix,
-                     uint64_t revision,
+                     const base::StoreRevision& revision,
                      base::Duration wait,
                      ChangesCallback callback) = 0;
 };
--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -4,6 +4,7 @@
 #include "LibPlatform/prefix_follower.h"
 
 #include <algorithm>
+#include <iterator>
 #include <utility>
 
 #include "LibBase/log.h"
@@ -26,6 +27,16 @@
                                                     (0.5 + random.Fraction()));
 }
 
+std::vector<StoreEvent> ToEvents(std::vector<StoreEntry> entries) {
+  std::vector<StoreEvent> events;
+  std::ranges::transform(
+      entries, std::back_inserter(events), [](StoreEntry& entry) {
+        return StoreEvent{std::move(entry.key), entry.revision,
+                          std::move(entry.value)};
+      });
+  return events;
+}
+
 }  // namespace
 
 std::shared_ptr<PrefixFollower> PrefixFollower::Create(
@@ -82,16 +93,28 @@
   return scheduler_.Now() - *last_read_;
 }
 
+base::StoreRevision PrefixFollower::LastRevision() {
+  const std::lock_guard lock(mutex_);
+  return watch_revision_;
+}
+
+uint64_t PrefixFollower::outdated_entry_count() {
+  const std::lock_guard lock(mutex_);
+  return outdated_entry_count_;
+}
+
 void PrefixFollower::ListAtStart(const std::string& after_key) {
   store_.List(prefix_, after_key, rules_.first_listing,
               [self = shared_from_this()](base::Result<StorePage> page) {
                 if (!page)
                   return;  // The first read of the latest state is due soon.
-                for (const StoreEntry& entry : page->entries)
-                  self->Apply({entry.key, entry.revision, entry.value},
-                              self->rules_.first_listing);
-                if (page->has_more && !page->entries.empty())
-                  self->ListAtStart(page->entries.back().key);
+                const bool has_more = page->has_more && !page->entries.empty();
+                const std::string last_key =
+                    has_more ? page->entries.back().key : "";
+                self->ApplyAll(kListName, ToEvents(std::move(page->entries)),
+                               self->rules_.first_listing);
+                if (has_more)
+                  self->ListAtStart(last_key);
               });
 }
 
@@ -110,23 +133,24 @@
     OnFailure(call, page.error(), [this] { List(""); });
     return;
   }
-  SetHealth(StoreHealth::kAvailable, "");
+  LogEraChange(page->store_revision);
+  SetHealth(StoreHealth::kAvailable, "", page->store_revision);
   {
     const std::lock_guard lock(mutex_);
     if (after_key.empty()) {
-      listed_revisions_.clear();
+      listed_keys_.clear();
       // NOTE: The pages together are not a snapshot. A watch from the first
       // page's revision reports what changes between them.
       listing_revision_ = page->store_revision;
     }
     for (const StoreEntry& entry : page->entries)
-      listed_revisions_[entry.key] = entry.revision;
+      listed_keys_.insert(entry.key);
   }
-  for (StoreEntry& entry : page->entries)
-    Apply({entry.key, entry.revision, std::move(entry.value)},
-          ReadMode::kLatest);
-  if (page->has_more && !page->entries.empty()) {
-    List(page->entries.back().key);
+  const bool has_more = page->has_more && !page->entries.empty();
+  const std::string last_key = has_more ? page->entries.back().key : "";
+  ApplyAll(kListName, ToEvents(std::move(page->entries)), ReadMode::kLatest);
+  if (has_more) {
+    List(last_key);
     return;
   }
   FinishListing();
@@ -135,21 +159,21 @@
 // Treats known entries that are no longer listed as removed, also those that
 // only peers knew of: they may all have missed the removal.
 void PrefixFollower::FinishListing() {
-  std::map<std::string, uint64_t> known = peer_knowledge_();
+  std::map<std::string, base::StoreRevision> known = peer_knowledge_();
   std::vector<StoreEvent> removed;
   {
     const std::lock_guard lock(mutex_);
     for (const auto& [key, revision] : known_revisions_)
       known.insert_or_assign(key, revision);
     for (const auto& [key, revision] : known) {
-      if (!listed_revisions_.contains(key) && revision <= listing_revision_)
+      if (!listed_keys_.contains(key) &&
+          revision.number <= listing_revision_.number)
         removed.push_back({key, listing_revision_, std::nullopt});
     }
     watch_revision_ = listing_revision_;
     last_read_ = scheduler_.Now();
   }
-  std::ranges::for_each(
-      removed, [this](auto& event) { Apply(event, ReadMode::kLatest); });
+  ApplyAll(kListName, std::move(removed), ReadMode::kLatest);
   ScheduleNextRead();
 }
 
@@ -188,7 +212,7 @@
 }
 
 void PrefixFollower::Watch(base::Duration wait) {
-  uint64_t revision = 0;
+  base::StoreRevision revision;
   {
     const std::lock_guard lock(mutex_);
     revision = watch_revision_;
@@ -221,33 +245,57 @@
     }
     return;
   }
-  SetHealth(StoreHealth::kAvailable, "");
+  LogEraChange(changes->store_revision);
+  SetHealth(StoreHealth::kAvailable, "", changes->store_revision);
   if (changes->is_history_lost) {
     List("");
     return;
   }
-  for (StoreEvent& event : changes->events)
-    Apply(std::move(event), ReadMode::kLatest);
+  const bool has_changes = !changes->events.empty();
+  ApplyAll(kWatchName, std::move(changes->events), ReadMode::kLatest);
   {
     const std::lock_guard lock(mutex_);
-    watch_revision_ = std::max(watch_revision_, changes->store_revision);
+    watch_revision_ = {
+        std::max(watch_revision_.number, changes->store_revision.number),
+        changes->store_revision.era};
     last_read_ = scheduler_.Now();
   }
-  if (changes->events.empty())
-    ScheduleNextRead();
-  else
+  if (has_changes)
     scheduler_.After(rules_.change_batch_delay,
                      [self = shared_from_this()] { self->ScheduleNextRead(); });
+  else
+    ScheduleNextRead();
+}
+
+void PrefixFollower::ApplyAll(std::string_view call_name,
+                              std::vector<StoreEvent> events,
+                              ReadMode mode) {
+  OutdatedEntries outdated;
+  for (StoreEvent& event : events)
+    Apply(std::move(event), mode, outdated);
+  // A read that may be stale is expected to be older than what is known.
+  if (outdated.count > 0 && mode == ReadMode::kLatest)
+    LogOutdated(call_name, outdated);
 }
 
 // Records the event and calls the listener, unless an equal or later revision
 // of the entry is known.
-void PrefixFollower::Apply(StoreEvent event, ReadMode mode) {
+void PrefixFollower::Apply(StoreEvent event,
+                           ReadMode mode,
+                           OutdatedEntries& outdated) {
   {
     const std::lock_guard lock(mutex_);
     const auto known = known_revisions_.find(event.key);
-    if (known != known_revisions_.end() && known->second >= event.revision)
+    if (known != known_revisions_.end() &&
+        known->second.number >= event.revision.number) {
+      if (known->second.number > event.revision.number &&
+          ++outdated.count == 1) {
+        outdated.key = event.key;
+        outdated.revision = event.revision;
+        outdated.known_revision = known->second;
+      }
       return;
+    }
     if (event.value)
       known_revisions_[event.key] = event.revision;
     else if (known != known_revisions_.end())
@@ -266,7 +314,7 @@
     next_retry_delay_ = std::min(next_retry_delay_ * 2, rules_.max_retry_delay);
   }
   LogFailure(call, error);
-  SetHealth(StoreHealth::kUnavailable, error.message());
+  SetHealth(StoreHealth::kUnavailable, error.message(), {});
   scheduler_.After(
       Jitter(delay, random_),
       [self = shared_from_this(), retry = std::move(retry)] { retry(); });
@@ -283,7 +331,35 @@
              {"reason", error.message()}});
 }
 
-void PrefixFollower::SetHealth(StoreHealth health, const std::string& reason) {
+void PrefixFollower::LogOutdated(std::string_view call_name,
+                                 const OutdatedEntries& outdated) {
+  {
+    const std::lock_guard lock(mutex_);
+    outdated_entry_count_ += outdated.count;
+  }
+  base::Log(base::Event::kStoreEntriesOutdated,
+            {{"prefix", prefix_},
+             {"call", std::string(call_name)},
+             {"entries", std::to_string(outdated.count)},
+             {"key", outdated.key},
+             {"revision", base::ToString(outdated.revision)},
+             {"knownRevision", base::ToString(outdated.known_revision)}});
+}
+
+// Logs that the store is in another era than at the last read.
+void PrefixFollower::LogEraChange(const base::StoreRevision& revision) {
+  const base::StoreRevision last = LastRevision();
+  if (!last.era || !revision.era || last.era == revision.era)
+    return;
+  base::Log(base::Event::kStoreEraChanged,
+            {{"prefix", prefix_},
+             {"revision", base::ToString(revision)},
+             {"lastRevision", base::ToString(last)}});
+}
+
+void PrefixFollower::SetHealth(StoreHealth health,
+                               const std::string& reason,
+                               const base::StoreRevision& revision) {
   StoreHealth previous = StoreHealth::kUnknown;
   {
     const std::lock_guard lock(mutex_);
@@ -297,7 +373,8 @@
     base::Log(base::Event::kStoreUnavailable,
               {{"prefix", prefix_}, {"reason", reason}});
   else if (previous == StoreHealth::kUnavailable)
-    base::Log(base::Event::kStoreRecovered, {{"prefix", prefix_}});
+    base::Log(base::Event::kStoreRecovered,
+              {{"prefix", prefix_}, {"revision", base::ToString(revision)}});
   health_listener_(health);
 }
 
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -12,6 +12,7 @@
 #include <memory>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -64,7 +65,8 @@
 
   // Returns the entries that this node has learned of from its peers: the
   // revision of each, by key.
-  using PeerKnowledge = std::function<std::map<std::string, uint64_t>()>;
+  using PeerKnowledge =
+      std::function<std::map<std::string, base::StoreRevision>()>;
 
   // References must outlive the follower. `is_watcher` returns whether this
   // node watches, and is called again after each listing, watch and wait.
@@ -84,6 +86,10 @@
   // Returns how long ago this node last read the latest state from the store;
   // unset before the first time.
   std::optional<base::Duration> Age();
+  // Returns the store's revision at that time.
+  base::StoreRevision LastRevision();
+  // Returns how many entries were ignored as older than what is known.
+  uint64_t outdated_entry_count();
 
  private:
   // A call to the store.
@@ -93,6 +99,15 @@
     base::Duration wait;  // How long the store may wait before it answers.
   };
 
+  // Entries of one read that were ignored.
+  struct OutdatedEntries {
+    uint64_t count = 0;
+    // Of the first one.
+    std::string key;
+    base::StoreRevision revision;
+    base::StoreRevision known_revision;
+  };
+
   PrefixFollower(std::string prefix,
                  PrefixFollowerRules rules,
                  base::Scheduler& scheduler,
@@ -116,12 +131,19 @@
   void Watch(base::Duration wait);
   base::Duration RandomWatchWait();
   void OnChanges(const ReadCall& call, base::Result<StoreChanges> changes);
-  void Apply(StoreEvent event, ReadMode mode);
+  void ApplyAll(std::string_view call_name,
+                std::vector<StoreEvent> events,
+                ReadMode mode);
+  void Apply(StoreEvent event, ReadMode mode, OutdatedEntries& outdated);
+  void LogOutdated(std::string_view call_name, const OutdatedEntries& outdated);
+  void LogEraChange(const base::StoreRevision& revision);
   void OnFailure(const ReadCall& call,
                  const base::Error& error,
                  std::function<void()> retry);
   void LogFailure(const ReadCall& call, const base::Error& error);
-  void SetHealth(StoreHealth health, const std::string& reason);
+  void SetHealth(StoreHealth health,
+                 const std::string& reason,
+                 const base::StoreRevision& revision);
 
   const std::string prefix_;
   const PrefixFollowerRules rules_;
@@ -138,12 +160,13 @@
   std::mutex mutex_;
   // All guarded by `mutex_`.
   StoreHealth health_ = StoreHealth::kUnknown;
-  std::map<std::string, uint64_t> known_revisions_;  // By key.
-  // By key, from the pages that the current listing has returned.
-  std::map<std::string, uint64_t> listed_revisions_;
+  std::map<std::string, base::StoreRevision> known_revisions_;  // By key.
+  // The keys on the pages that the current listing has returned.
+  std::set<std::string> listed_keys_;
   // The store's revision at the first page of the current listing.
-  uint64_t listing_revision_ = 0;
-  uint64_t watch_revision_ = 0;  // Where the next watch continues.
+  base::StoreRevision listing_revision_;
+  base::StoreRevision watch_revision_;  // Where the next watch continues.
+  uint64_t outdated_entry_count_ = 0;
   base::Duration next_retry_delay_{};
   base::Instant started_;
   std::optional<base::Instant> last_read_;  // Unset before the first listing.
--- a/Tests/Fakes/fake_entry_store.cc
+++ b/Tests/Fakes/fake_entry_store.cc
@@ -27,14 +27,27 @@
 void FakeEntryStoreState::Put(const std::string& key,
                               const std::string& value) {
   ++revision;
-  entries[key] = {key, value, revision};
-  history.push_back({key, revision, value});
+  entries[key] = {key, value, {revision, era}};
+  history.push_back({key, {revision, era}, value});
 }
 
 void FakeEntryStoreState::Remove(const std::string& key) {
   ++revision;
   entries.erase(key);
-  history.push_back({key, revision, std::nullopt});
+  history.push_back({key, {revision, era}, std::nullopt});
+}
+
+void FakeEntryStoreState::RestoreFrom(const FakeEntryStoreState& copy) {
+  entries = copy.entries;
+  history = copy.history;
+  revision = copy.revision;
+  if (era)
+    ++*era;
+  // The copy's entries are read in the new era.
+  for (auto& [key, entry] : entries)
+    entry.revision.era = era;
+  for (platform::StoreEvent& event : history)
+    event.revision.era = era;
 }
 
 bool FakeEntryStore::IsDown() const {
@@ -61,7 +74,7 @@
                        return;
                      }
                      platform::StorePage page;
-                     page.store_revision = state_.revision;
+                     page.store_revision = {state_.revision, state_.era};
                      const auto& entries = may_be_stale && state_.stale_entries
                                                ? *state_.stale_entries
                                                : state_.entries;
@@ -78,12 +91,12 @@
 }
 
 void FakeEntryStore::Watch(const std::string& prefix,
-                           uint64_t revision,
+                           const base::StoreRevision& revision,
                            base::Duration wait,
                            ChangesCallback callback) {
   ++state_.calls;
-  Poll({prefix, revision, scheduler_.Now() + wait, ++state_.last_call_number,
-        std::move(callback)});
+  Poll({prefix, revision.number, scheduler_.Now() + wait,
+        ++state_.last_call_number, std::move(callback)});
 }
 
 void FakeEntryStore::Poll(WaitingWatch watch) {
@@ -102,11 +115,12 @@
       return;
     }
     platform::StoreChanges changes;
-    changes.store_revision = state_.revision;
-    changes.is_history_lost = watch.revision < state_.last_dropped_revision;
+    changes.store_revision = {state_.revision, state_.era};
+    changes.is_history_lost = watch.revision < state_.last_dropped_revision ||
+                              watch.revision > state_.revision;
     std::ranges::copy_if(state_.history, std::back_inserter(changes.events),
                          [&](const platform::StoreEvent& event) {
-                           return event.revision > watch.revision &&
+                           return event.revision.number > watch.revision &&
                                   event.key.starts_with(watch.prefix);
                          });
     const bool is_due = changes.is_history_lost || !changes.events.empty() ||
--- a/Tests/Fakes/fake_entry_store.h
+++ b/Tests/Fakes/fake_entry_store.h
@@ -20,6 +20,7 @@
   std::map<std::string, platform::StoreEntry> entries;
   std::vector<platform::StoreEvent> history;
   uint64_t revision = 10;
+  std::optional<uint64_t> era = 1;  // Unset for a store that names none.
   // A watch from an earlier revision is told that the history is lost.
   uint64_t last_dropped_revision = 0;
   // Names of the nodes whose calls fail.
@@ -41,6 +42,8 @@
   void SilenceOpenConnections() { last_silenced_call = last_call_number; }
   // Drops the history of all changes so far; the entries stay.
   void DropHistory() { last_dropped_revision = revision; }
+  // Comes back with the contents that `copy` had, in a new era.
+  void RestoreFrom(const FakeEntryStoreState& copy);
 };
 
 // The client through which one node calls the store.
@@ -56,7 +59,7 @@
             platform::ReadMode mode,
             PageCallback callback) override;
   void Watch(const std::string& prefix,
-             uint64_t revision,
+             const base::StoreRevision& revision,
              base::Duration wait,
              ChangesCallback callback) override;
 
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -34,12 +34,12 @@
     const platform::StoreEvent& event) {
   if (event.value)
     return upstream::ParseClaim(*event.value).map([&](auto claim) {
-      claim.revision = event.revision;
+      claim.revision = event.revision.number;
       return claim;
     });
   return upstream::ServerClaim{
-      event.key.substr(std::string(kServersPrefix).size()), event.revision,
-      std::nullopt};
+      event.key.substr(std::string(kServersPrefix).size()),
+      event.revision.number, std::nullopt};
 }
 
 }  // namespace
--- a/Tests/platform/codec_test.cc
+++ b/Tests/platform/codec_test.cc
@@ -111,7 +111,7 @@
 
 TEST_CASE("store entries that are not valid claims are rejected") {
   const auto read = [](const std::string& text) {
-    return ReadClaim({"servers/i-1", 7, text});
+    return ReadClaim({"servers/i-1", {7}, text});
   };
   const std::string good =
       R"({"service":"s","address":"10.0.0.1:80","zone":"z","version":"v1",)"
