LibPlatform: Order a prefix's entries by the store's era

Callers saw requests refused with 404, or served on a dropped route, as a configuration from before an outage of the store says, until the processes ended.

Cause: the follower passes over entries whose revision is not higher than the one that it knows for the key. A store that comes back from an older copy gives out lower numbers again, so each new version of the configuration was passed over until the store's revisions had passed the old ones.

Revisions of a later era are later, whatever their numbers; numbers count within an era, or where an era is unknown. A configuration in force can't go back, since the controller compares the operator's versions.

--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -167,7 +167,7 @@
       known.insert_or_assign(key, revision);
     for (const auto& [key, revision] : known) {
       if (!listed_keys_.contains(key) &&
-          revision.number <= listing_revision_.number)
+          !base::IsLater(revision, listing_revision_))
         removed.push_back({key, listing_revision_, std::nullopt});
     }
     watch_revision_ = listing_revision_;
@@ -287,8 +287,8 @@
     const std::lock_guard lock(mutex_);
     const auto known = known_revisions_.find(event.key);
     if (known != known_revisions_.end() &&
-        known->second.number >= event.revision.number) {
-      if (known->second.number > event.revision.number &&
+        !base::IsLater(event.revision, known->second)) {
+      if (base::IsLater(known->second, event.revision) &&
           ++outdated.count == 1) {
         outdated.key = event.key;
         outdated.revision = event.revision;
