LibPlatform: List a prefix afresh when the store's era changes

Callers saw requests handled as a configuration from before an outage of the store says, although the store had refused no watch.

Cause: a watch continues from a revision number. Once a restored store has given out the lost numbers again, that number is valid but leads into another history: changes that were written in the new era before the host was back are never reported.

An answer of a later era makes the follower list the prefix; one of an earlier era counts as a failed call.

Two cases of restored_store_test fail without the change (revision 3 instead of 5, and 5 taken from an earlier era, on 4 of 4 hosts) and pass with it.

--- a/Libraries/LibPlatform/prefix_follower.cc
+++ b/Libraries/LibPlatform/prefix_follower.cc
@@ -27,6 +27,12 @@
                                                     (0.5 + random.Fraction()));
 }
 
+base::Error EarlierEraError() {
+  return base::Error(base::ErrorKind::kUnavailable,
+                     "the store answered from an earlier era",
+                     "wait until it answers from the latest one");
+}
+
 std::vector<StoreEvent> ToEvents(std::vector<StoreEntry> entries) {
   std::vector<StoreEvent> events;
   std::ranges::transform(
@@ -129,12 +135,22 @@
 void PrefixFollower::OnPage(const ReadCall& call,
                             const std::string& after_key,
                             base::Result<StorePage> page) {
+  const auto list_again = [self = shared_from_this()] { self->List(""); };
   if (!page) {
-    OnFailure(call, page.error(), [this] { List(""); });
+    OnFailure(call, page.error(), list_again);
+    return;
+  }
+  const AnswerEra era = CheckEra(page->store_revision);
+  if (era == AnswerEra::kEarlier) {
+    OnFailure(call, EarlierEraError(), list_again);
     return;
   }
-  LogEraChange(page->store_revision);
   SetHealth(StoreHealth::kAvailable, "", page->store_revision);
+  // NOTE: The earlier pages are of the earlier era.
+  if (era == AnswerEra::kLater && !after_key.empty()) {
+    List("");
+    return;
+  }
   {
     const std::lock_guard lock(mutex_);
     if (after_key.empty()) {
@@ -170,7 +186,7 @@
           !base::IsLater(revision, listing_revision_))
         removed.push_back({key, listing_revision_, std::nullopt});
     }
-    watch_revision_ = listing_revision_;
+    watch_revision_.number = listing_revision_.number;
     last_read_ = scheduler_.Now();
   }
   ApplyAll(kListName, std::move(removed), ReadMode::kLatest);
@@ -245,9 +261,16 @@
     }
     return;
   }
-  LogEraChange(changes->store_revision);
+  const AnswerEra era = CheckEra(changes->store_revision);
+  if (era == AnswerEra::kEarlier) {
+    OnFailure(call, EarlierEraError(),
+              [self = shared_from_this()] { self->List(""); });
+    return;
+  }
   SetHealth(StoreHealth::kAvailable, "", changes->store_revision);
-  if (changes->is_history_lost) {
+  // NOTE: In a later era, the watch continued from a point of another history,
+  // and may have left out changes.
+  if (changes->is_history_lost || era == AnswerEra::kLater) {
     List("");
     return;
   }
@@ -255,9 +278,8 @@
   ApplyAll(kWatchName, std::move(changes->events), ReadMode::kLatest);
   {
     const std::lock_guard lock(mutex_);
-    watch_revision_ = {
-        std::max(watch_revision_.number, changes->store_revision.number),
-        changes->store_revision.era};
+    watch_revision_.number =
+        std::max(watch_revision_.number, changes->store_revision.number);
     last_read_ = scheduler_.Now();
   }
   if (has_changes)
@@ -346,15 +368,24 @@
              {"knownRevision", base::ToString(outdated.known_revision)}});
 }
 
-// Logs that the store is in another era than at the last read.
-void PrefixFollower::LogEraChange(const base::StoreRevision& revision) {
-  const base::StoreRevision last = LastRevision();
-  if (!last.era || !revision.era || last.era == revision.era)
-    return;
+PrefixFollower::AnswerEra PrefixFollower::CheckEra(
+    const base::StoreRevision& revision) {
+  base::StoreRevision last;
+  {
+    const std::lock_guard lock(mutex_);
+    last = watch_revision_;
+    if (base::IsOfLaterEra(last, revision))
+      return AnswerEra::kEarlier;
+    if (revision.era)
+      watch_revision_.era = revision.era;
+  }
+  if (!base::IsOfLaterEra(revision, last))
+    return AnswerEra::kKnown;
   base::Log(base::Event::kStoreEraChanged,
             {{"prefix", prefix_},
              {"revision", base::ToString(revision)},
              {"lastRevision", base::ToString(last)}});
+  return AnswerEra::kLater;
 }
 
 void PrefixFollower::SetHealth(StoreHealth health,
--- a/Libraries/LibPlatform/prefix_follower.h
+++ b/Libraries/LibPlatform/prefix_follower.h
@@ -136,7 +136,10 @@
                 ReadMode mode);
   void Apply(StoreEvent event, ReadMode mode, OutdatedEntries& outdated);
   void LogOutdated(std::string_view call_name, const OutdatedEntries& outdated);
-  void LogEraChange(const base::StoreRevision& revision);
+  // Compares the era of an answer with the one that is known, and takes a later
+  // one over. An answer that names no era is of the known one.
+  enum class AnswerEra : uint8_t { kKnown, kLater, kEarlier };
+  AnswerEra CheckEra(const base::StoreRevision& revision);
   void OnFailure(const ReadCall& call,
                  const base::Error& error,
                  std::function<void()> retry);
@@ -165,7 +168,9 @@
   std::set<std::string> listed_keys_;
   // The store's revision at the first page of the current listing.
   base::StoreRevision listing_revision_;
-  base::StoreRevision watch_revision_;  // Where the next watch continues.
+  // Where the next watch continues. Its era is the latest that is known; the
+  // number is of that era once it has been listed.
+  base::StoreRevision watch_revision_;
   uint64_t outdated_entry_count_ = 0;
   base::Duration next_retry_delay_{};
   base::Instant started_;
--- a/Tests/LibNode/restored_store_test.cc
+++ b/Tests/LibNode/restored_store_test.cc
@@ -71,5 +71,40 @@
   CheckRevisionInForce(*tier, 5);
 }
 
+// A watch from the last revision is answered, since the store has it again, but
+// it tells nothing of what was written before.
+TEST_CASE(
+    "a restored store hides no change at a revision that hosts have seen") {
+  const auto tier = MakeTier();
+  const FakeEntryStoreState copy = tier->store();
+  ChangeOtherServer(*tier, kLostChanges);
+  tier->RunFor(seconds(2));
+  tier->store().outage = true;
+  tier->RunFor(kOutage);
+  RestoreStore(*tier, copy);
+  tier->PutConfiguration(5, kServiceCount);
+  ChangeOtherServer(*tier, kLostChanges - 1);
+  REQUIRE(tier->store().revision == copy.revision + kLostChanges);
+  tier->RunFor(kStableTime);
+  CheckRevisionInForce(*tier, 5);
+}
+
+TEST_CASE("an answer of an earlier era has no effect") {
+  const auto tier = MakeTier();
+  tier->store().outage = true;
+  tier->RunFor(kOutage);
+  RestoreStore(*tier, FakeEntryStoreState(tier->store()));
+  tier->RunFor(kStableTime);
+  // A replica of the store that has not heard of the restore.
+  tier->store().era = 1;
+  tier->PutConfiguration(5, kServiceCount);
+  tier->RunFor(kStableTime);
+  CheckRevisionInForce(*tier, 3);
+  tier->store().era = 2;
+  tier->PutConfiguration(6, kServiceCount);
+  tier->RunFor(kStableTime);
+  CheckRevisionInForce(*tier, 6);
+}
+
 }  // namespace
 }  // namespace node
