LibPlatform: Watch the manifest from the version that was read last

A node that serves agreements put a publication in force only when its watch ended, up to 5 s late, after the key-value service had come back from an older copy.

Cause: the watcher kept the highest version of the key that it had seen. A restored service gives out lower versions again, so that no watch above that one is answered before its wait is over. Reads follow one another, so the last one is the newest.

--- a/Libraries/LibPlatform/manifest_watcher.cc
+++ b/Libraries/LibPlatform/manifest_watcher.cc
@@ -83,8 +83,9 @@
   {
     const std::lock_guard lock(mutex_);
     last_read_ = scheduler_.Now();
-    if (*read)
-      seen_key_version_ = std::max(seen_key_version_, (*read)->version);
+    // NOTE: The version may fall: the service may have come back from an older
+    // copy.
+    seen_key_version_ = *read ? (*read)->version : kAbsent;
     if (manifest)
       stored_revision_ = manifest->revision;
     else if (!stored_revision_)
--- a/Libraries/LibPlatform/manifest_watcher.h
+++ b/Libraries/LibPlatform/manifest_watcher.h
@@ -80,7 +80,7 @@
   // All guarded by `mutex_`.
   StoreState store_state_ = StoreState::kUnknown;
   std::optional<uint64_t> stored_revision_;
-  // The version of the key, not the revision of the manifest.
+  // The version of the key at the last read, not the revision of the manifest.
   uint64_t seen_key_version_ = 0;
   base::Instant last_read_;
   bool stopped_ = false;
