LibPlatform: Publish above the revisions that nodes have in force

A publication that the key-value service acknowledged was in force on no node, and `publish` said that it was.

Cause: a new revision was one above the stored one. If the service has come back from a copy without the last publication, the new one gets its number, and nodes that have the lost one in force ignore it.

Without an operator address it can't know.

publisher_test fails without the change (revision 2 for both publications) and passes with it.

--- a/Libraries/LibPlatform/publisher.cc
+++ b/Libraries/LibPlatform/publisher.cc
@@ -2,6 +2,7 @@
 
 #include "LibPlatform/publisher.h"
 
+#include <algorithm>
 #include <nlohmann/json.hpp>
 
 #include "LibBase/digest.h"
@@ -95,10 +96,11 @@
 base::Result<config::Manifest> Publish(
     const config::CollectedConfiguration& collected,
     const std::string& publication_id,
-    const StoreCalls& store) {
+    const StoreCalls& store,
+    uint64_t revision_in_force) {
   const StoredManifest stored = TRY(ReadStoredManifest(store));
   config::Manifest manifest;
-  manifest.revision = stored.manifest.revision + 1;
+  manifest.revision = std::max(stored.manifest.revision, revision_in_force) + 1;
   manifest.publication_id = publication_id;
   manifest.content_digest = base::Sha256Hex(collected.content);
   manifest.summary = Summarize(collected, stored, store);
--- a/Libraries/LibPlatform/publisher.h
+++ b/Libraries/LibPlatform/publisher.h
@@ -28,11 +28,14 @@
 // Writes the content, then the manifest that refers to it. If the response to
 // the manifest's write is lost, reads the manifest back and compares the
 // publication's identifier. Fails with kConflict if another publication was
-// made in the meantime.
+// made in the meantime. The new revision is higher than `revision_in_force`,
+// the highest on any node, which is above the stored one if the store has lost
+// a publication.
 base::Result<config::Manifest> Publish(
     const config::CollectedConfiguration& collected,
     const std::string& publication_id,
-    const StoreCalls& store);
+    const StoreCalls& store,
+    uint64_t revision_in_force = 0);
 
 }  // namespace platform
 
--- a/Services/celerycroft/publish_command.cc
+++ b/Services/celerycroft/publish_command.cc
@@ -64,6 +64,22 @@
     node.revision = body.value("revision", uint64_t{0});
 }
 
+// Returns the highest revision that is in force on a node, or 0 if none
+// answers.
+uint64_t FindRevisionInForce(const std::string& operator_address) {
+  if (operator_address.empty())
+    return 0;
+  auto nodes = FetchLiveNodes(operator_address);
+  if (!nodes)
+    return 0;
+  uint64_t revision = 0;
+  for (NodeStatus& node : *nodes) {
+    RefreshRevision(node);
+    revision = std::max(revision, node.revision);
+  }
+  return revision;
+}
+
 // Polls the nodes until the revision is in force on all of them, for at most
 // kMaxInForceWait.
 void WaitForRevision(std::vector<NodeStatus>& nodes, uint64_t revision) {
@@ -187,8 +203,9 @@
     return kExitFailure;
   }
   BlockingStore store(line.store_address);
-  const auto manifest = Publish(collected, base::RandomHex(kPublicationIdBytes),
-                                ToStoreCalls(store));
+  const auto manifest =
+      Publish(collected, base::RandomHex(kPublicationIdBytes),
+              ToStoreCalls(store), FindRevisionInForce(line.operator_address));
   if (manifest)
     return ReportNodesInForce(line, *manifest);
   ReportError(manifest.error());
--- a/Tests/LibPlatform/publisher_test.cc
+++ b/Tests/LibPlatform/publisher_test.cc
@@ -79,6 +79,26 @@
   CHECK(next->revision == 2);
 }
 
+// Nodes that have the lost publication in force would ignore another one of its
+// revision.
+TEST_CASE("a publication gets no revision that a restored store has lost") {
+  FakeStore store;
+  REQUIRE(platform::Publish(MakeCollected("a.json"), "a", store.Calls()));
+  const auto copy = store.values;
+  const auto lost =
+      platform::Publish(MakeCollected("b.json"), "b", store.Calls());
+  REQUIRE(lost);
+  store.values = copy;
+  const auto next = platform::Publish(MakeCollected("c.json"), "c",
+                                      store.Calls(), lost->revision);
+  REQUIRE(next);
+  CHECK(next->revision > lost->revision);
+  const auto last =
+      platform::Publish(MakeCollected("d.json"), "d", store.Calls(), 1);
+  REQUIRE(last);
+  CHECK(last->revision == next->revision + 1);
+}
+
 TEST_CASE("losing to a publication whose response was lost is a conflict") {
   FakeStore store;
   store.before_manifest_write = [&] {
