LibNode, LibBase: Show an unknown era as null, set a note apart

The state for operators showed an era of 0 both for a store that names none and for one that begins with it. Tests of forwarding nodes, the registry and restored stores passed.

--- a/Libraries/LibBase/store_revision.h
+++ b/Libraries/LibBase/store_revision.h
@@ -22,8 +22,9 @@
 bool IsOfLaterEra(const StoreRevision& revision, const StoreRevision& other);
 
 // Returns whether the store gave out `revision` after `other`. The numbers
-// count only within an era, or if an era is unknown. NOTE: This is not
-// transitive where some of the eras are unknown.
+// count only within an era, or if an era is unknown.
+//
+// NOTE: This is not transitive where some of the eras are unknown.
 bool IsLater(const StoreRevision& revision, const StoreRevision& other);
 
 // Returns the number, after the era and a dot if the era is known.
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -659,10 +659,11 @@
                        {"incarnation", member.incarnation}});
   json servers = json::array();
   for (const upstream::ServerClaim& claim : server_registry_.Dump())
-    servers.push_back({{"instance", claim.instance},
-                       {"revision", claim.revision.number},
-                       {"era", claim.revision.era.value_or(0)},
-                       {"takesWork", claim.server.has_value()}});
+    servers.push_back(
+        {{"instance", claim.instance},
+         {"revision", claim.revision.number},
+         {"era", claim.revision.era ? json(*claim.revision.era) : json()},
+         {"takesWork", claim.server.has_value()}});
   return json{{"nodeId", settings_.self.node_id},
               {"ready", is_ready()},
               {"revision", configuration_->Current()->revision},
