--- a/Tests/platform/soak/soak.cc
+++ b/Tests/platform/soak/soak.cc
@@ -146,11 +146,12 @@
 }
 
 void Soak::PutConfiguration() {
-  store_->Put(wire::kConfigurationPrefix, NextConfiguration());
+  store_->Put(wire::kConfigurationPrefix, MakeNextConfiguration().text);
 }
 
-std::string Soak::NextConfiguration() {
-  return MakeConfiguration(deployment_, ++version_);
+NextConfiguration Soak::MakeNextConfiguration() {
+  const uint64_t version = ++version_;
+  return {version, MakeConfiguration(deployment_, version)};
 }
 
 void Soak::PlayDrill() {
@@ -164,8 +165,7 @@
     servers.push_back(server.get());
   drill_ = std::make_shared<StoreDrill>(
       server_thread_.io(), *drill_plan_, *store_, std::move(servers),
-      [this] { return NextConfiguration(); },
-      [this] { return version_.load(); }, recorder_);
+      [this] { return MakeNextConfiguration(); }, recorder_);
   boost::asio::post(client_thread_.io(), [this] { prober_->Start(); });
   boost::asio::post(server_thread_.io(), [this] { drill_->Start(); });
   TickFor(drill_->duration());
--- a/Tests/platform/soak/soak.h
+++ b/Tests/platform/soak/soak.h
@@ -48,7 +48,7 @@
   void CreateFleet();
   void StartClients();
   void PutConfiguration();
-  std::string NextConfiguration();
+  NextConfiguration MakeNextConfiguration();
   // Plays a drill of the store, once.
   void PlayDrill();
   // Returns the directories of all hosts, those of the zone first.
--- a/Tests/platform/soak/store_drill.cc
+++ b/Tests/platform/soak/store_drill.cc
@@ -17,7 +17,11 @@
 
 namespace {
 
-constexpr base::Duration kCopyAge = milliseconds(1500);
+// Before the outage.
+constexpr base::Duration kLeadTime = milliseconds(1500);
+constexpr base::Duration kCopyAge = milliseconds(1400);
+constexpr base::Duration kServerChanges = seconds(1);
+constexpr base::Duration kPublication = milliseconds(500);
 constexpr base::Duration kOutage = seconds(1);
 constexpr base::Duration kOutagePeriod = seconds(8);
 // After the return.
@@ -64,26 +68,24 @@
                        DrillPlan plan,
                        StandInStore& store,
                        std::vector<StandInServer*> servers,
-                       std::function<std::string()> next_configuration,
-                       std::function<uint64_t()> last_version,
+                       std::function<NextConfiguration()> next_configuration,
                        Recorder& recorder)
     : plan_(std::move(plan)),
       scheduler_(io),
       store_(store),
       servers_(std::move(servers)),
       next_configuration_(std::move(next_configuration)),
-      last_version_(std::move(last_version)),
       recorder_(recorder),
       has_left_(servers_.size(), false) {}
 
 base::Duration StoreDrill::duration() const {
-  return kCopyAge + kOutagePeriod * (plan_.outages - 1) + kOutage + kEnd;
+  return kLeadTime + kOutagePeriod * (plan_.outages - 1) + kOutage + kEnd;
 }
 
 void StoreDrill::Start() {
   for (int outage = 0; outage < plan_.outages; ++outage)
-    ScheduleOutage(kCopyAge + kOutagePeriod * outage);
-  ScheduleLaterChanges(kCopyAge + kOutagePeriod * (plan_.outages - 1) +
+    ScheduleOutage(kLeadTime + kOutagePeriod * outage);
+  ScheduleLaterChanges(kLeadTime + kOutagePeriod * (plan_.outages - 1) +
                        kOutage);
 }
 
@@ -96,16 +98,16 @@
 
 void StoreDrill::ScheduleOutage(base::Duration begin) {
   if (plan_.loss == StoreLoss::kServers)
-    At(begin - kCopyAge, [](auto& drill) { drill.PublishNext(); });
-  At(begin - kCopyAge + milliseconds(100),
+    At(begin - kLeadTime, [](auto& drill) { drill.PublishNext(); });
+  At(begin - kCopyAge,
      [](auto& drill) { drill.copy_ = drill.store_.contents(); });
-  At(begin - milliseconds(1000), [](auto& drill) {
+  At(begin - kServerChanges, [](auto& drill) {
     if (drill.plan_.is_departure_lost)
       drill.LetServerLeave(kLostDeparture);
     drill.ChangeServers();
   });
   if (plan_.loss != StoreLoss::kServers)
-    At(begin - milliseconds(500), [](auto& drill) { drill.PublishNext(); });
+    At(begin - kPublication, [](auto& drill) { drill.PublishNext(); });
   At(begin, [](auto& drill) {
     drill.outage_begin_ = base::MonotonicClock::now();
     drill.store_.GoAway();
@@ -141,12 +143,13 @@
 
 void StoreDrill::PublishNext() {
   last_configuration_ = next_configuration_();
-  store_.Put(wire::kConfigurationPrefix, last_configuration_);
-  recorder_.Add(PublishedVersion{last_version_(), base::MonotonicClock::now()});
+  store_.Put(wire::kConfigurationPrefix, last_configuration_.text);
+  recorder_.Add(PublishedVersion{last_configuration_.version,
+                                 base::MonotonicClock::now()});
 }
 
 void StoreDrill::PublishLastAgain() {
-  store_.Put(wire::kConfigurationPrefix, last_configuration_);
+  store_.Put(wire::kConfigurationPrefix, last_configuration_.text);
 }
 
 void StoreDrill::ChangeServers() {
--- a/Tests/platform/soak/store_drill.h
+++ b/Tests/platform/soak/store_drill.h
@@ -42,18 +42,24 @@
 std::optional<DrillPlan> FindDrillPlan(const std::string& name);
 std::vector<std::string> DrillPlanNames();
 
+struct NextConfiguration {
+  uint64_t version = 0;
+  std::string text;
+
+  bool operator==(const NextConfiguration&) const = default;
+};
+
 // Plays one drill: changes, the outage, and the changes after it, which the
 // hosts must follow.
 class StoreDrill : public std::enable_shared_from_this<StoreDrill> {
  public:
-  // References must outlive the tasks of the io_context. `next_configuration`
-  // returns the text of the next version and counts it.
+  // References must outlive the tasks of the io_context. Each call of
+  // `next_configuration` returns a higher version.
   StoreDrill(boost::asio::io_context& io,
              DrillPlan plan,
              StandInStore& store,
              std::vector<StandInServer*> servers,
-             std::function<std::string()> next_configuration,
-             std::function<uint64_t()> last_version,
+             std::function<NextConfiguration()> next_configuration,
              Recorder& recorder);
 
   // Must be called on the thread of the io_context.
@@ -80,11 +86,10 @@
   base::AsioScheduler scheduler_;
   StandInStore& store_;
   const std::vector<StandInServer*> servers_;
-  const std::function<std::string()> next_configuration_;
-  const std::function<uint64_t()> last_version_;
+  const std::function<NextConfiguration()> next_configuration_;
   Recorder& recorder_;
   StandInStore::Contents copy_;
-  std::string last_configuration_;
+  NextConfiguration last_configuration_;
   std::vector<bool> has_left_;  // By server.
   base::Instant outage_begin_{};
 };
