--- a/review/9/case.cpp
+++ b/review/9/case.cpp
@@ -26,8 +26,7 @@
   Store::Door* door = store.AddDoor(LoopbackIp(1));
   if (!door)
     Finish(kNotRun);
-  store.Put("op/config",
-            OneRouteManifest(7, "non_idempotent", 2, "bookings", 60));
+  store.Put("op/config", OneRouteManifest(7, "non_idempotent", "bookings", 60));
   const std::vector<std::string> zones = {"a", "b", "c"};
   std::vector<std::unique_ptr<Server>> servers;
   for (int i = 0; i < kServers; ++i) {
--- a/review/standins-2/world.h
+++ b/review/standins-2/world.h
@@ -372,6 +372,16 @@
   // the point where the next answer on this connection is expected.
   std::function<std::string()> late_bytes;
 
+  // Called for each request that has run: returns the status with which the
+  // server fails it, or nothing.
+  std::function<std::optional<int>()> failure;
+
+  // The stamps of the answers that were failures.
+  std::set<std::string> failed_stamps() {
+    const std::lock_guard lock(mutex_);
+    return failed_stamps_;
+  }
+
   bool Start() {
     if (!listener_.Start(address_, [this](Connection& peer) { Serve(peer); }))
       return false;
@@ -514,10 +524,15 @@
     record_.Line("run", id, "at", options_.id);
     SleepFor(options_.work_seconds * slowness * (0.5 + RandomFraction()));
     FreeSlot();
-    return Answer(
-        200, "OK",
-        echo + "Celerycroft-Server-Stamp: " + id + "." + options_.id + "\r\n",
-        "done " + id + "\n");
+    const std::string stamp = RandomId() + "." + options_.id;
+    const std::optional<int> failed = failure ? failure() : std::nullopt;
+    if (failed) {
+      const std::lock_guard lock(mutex_);
+      failed_stamps_.insert(stamp);
+    }
+    return Answer(failed.value_or(200), failed ? "Failed" : "OK",
+                  echo + "Celerycroft-Server-Stamp: " + stamp + "\r\n",
+                  "record " + id.substr(0, 9) + "record " + id.substr(0, 9));
   }
 
   const Options options_;
@@ -536,6 +551,7 @@
   int running_ = 0;
   int waiting_ = 0;
   std::string extra_headers_;
+  std::set<std::string> failed_stamps_;
 
   std::mutex entry_mutex_;
   std::string state_;
@@ -705,6 +721,7 @@
   int status = 0;
   double retry_after = 0;
   bool is_server_leaving = false;
+  std::string part_stamps;
   std::string stamp;
   std::string body;
 };
@@ -746,12 +763,14 @@
       attempt.status = answer.status();
       attempt.retry_after = std::atof(answer.Header("Retry-After").c_str());
       attempt.is_server_leaving = answer.Header("Server-Leaving") == "1";
+      attempt.part_stamps = answer.Header("Celerycroft-Part-Stamps");
       attempt.stamp = answer.Header("Celerycroft-Server-Stamp");
       attempt.body = answer.body;
     }
     if (!is_complete || answer.Header("Connection") == "close")
       connection_.reset();
-    record_.Line("answered", attempt.id, attempt.status, attempt.stamp);
+    record_.Line("answered", attempt.id, attempt.status,
+                 attempt.stamp + attempt.part_stamps);
     return attempt;
   }
 
@@ -777,23 +796,18 @@
   std::vector<Attempt> attempts_;
 };
 
-// A manifest with one route, to one service.
-inline std::string OneRouteManifest(uint64_t version,
-                                    const std::string& route_type,
-                                    int attempts,
-                                    const std::string& service,
-                                    int max_connections) {
+// A manifest with one route, which `route` completes, to one service.
+inline std::string ManifestWithRoute(uint64_t version,
+                                     const json& route,
+                                     const std::string& service,
+                                     int max_connections) {
+  json whole_route = {
+      {"name", "r-book"},   {"host", "book.example"},   {"prefix", "/book/"},
+      {"timeout_ms", 3000}, {"target_latency_ms", 500}, {"priority", 2},
+      {"attempts", 2}};
+  whole_route.update(route);
   return json{{"version", version},
-              {"routes",
-               {{{"name", "r-book"},
-                 {"host", "book.example"},
-                 {"prefix", "/book/"},
-                 {"route_type", route_type},
-                 {"timeout_ms", 3000},
-                 {"target_latency_ms", 500},
-                 {"priority", 2},
-                 {"service", service},
-                 {"attempts", attempts}}}},
+              {"routes", json::array({whole_route})},
               {"services",
                {{{"name", service},
                  {"health_path", "/health"},
@@ -808,6 +822,15 @@
       .dump();
 }
 
+inline std::string OneRouteManifest(uint64_t version,
+                                    const std::string& route_type,
+                                    const std::string& service,
+                                    int max_connections) {
+  return ManifestWithRoute(
+      version, json{{"route_type", route_type}, {"service", service}}, service,
+      max_connections);
+}
+
 }  // namespace review
 
 #endif  // REVIEW_STANDINS_2_WORLD_H_
