LibQuery: Record the status of servers' replies

Whether a reply counted as an answer or as a failure could be seen for each attempt, but not the status that it had: a failure that counts as an answer looked like any other answer. Attempts in the log name the status, and a counter has the statuses other than 200 by status and by what they counted as.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -725,6 +725,7 @@
         const auto span = work_meter_.Measure("respond_delegated");
         request_drain_.OnEnded(id);
         query::LogDelegatedWork(answer, log_line_limiter_);
+        query::CountUnusualStatuses(answer.attempts, metrics_);
         query::CompactParts(answer, top_records);
         respond(std::move(answer));
       });
--- a/Libraries/LibQuery/attempt_recorder.cc
+++ b/Libraries/LibQuery/attempt_recorder.cc
@@ -32,12 +32,14 @@
 
 void AttemptRecorder::OnAttemptEnd(const Attempt& attempt,
                                    base::Instant now,
-                                   std::string result) {
+                                   std::string result,
+                                   int status) {
   if (mode_ == Mode::kOff)
     return;
   AttemptRecord& record = attempt_records_[attempt.number - 1];
   record.took = now - attempt.started;
   record.result = std::move(result);
+  record.status = status;
 }
 
 void AttemptRecorder::OnNotRetried(uint32_t attempt_number,
--- a/Libraries/LibQuery/attempt_recorder.h
+++ b/Libraries/LibQuery/attempt_recorder.h
@@ -27,9 +27,11 @@
                       AttemptKind kind,
                       const upstream::ServerView& view,
                       size_t candidates);
+  // `status` is AttemptRecord::status.
   void OnAttemptEnd(const Attempt& attempt,
                     base::Instant now,
-                    std::string result);
+                    std::string result,
+                    int status = 0);
   // Sets why the failed attempt was not retried.
   void OnNotRetried(uint32_t attempt_number, std::string_view no_retry_reason);
 
--- a/Libraries/LibQuery/forward_log.cc
+++ b/Libraries/LibQuery/forward_log.cc
@@ -101,6 +101,8 @@
   text << attempt.service << "/" << attempt.server << " "
        << AttemptKindName(attempt.kind) << " at "
        << FormatMilliseconds(attempt.started) << " ms: " << attempt.result;
+  if (attempt.status != 0)
+    text << " with status " << attempt.status;
   if (!attempt.no_retry_reason.empty())
     text << " (" << attempt.no_retry_reason << ")";
   if (attempt.took)
@@ -156,6 +158,7 @@
   if (!context.missing.empty())
     metrics_.Increment("celerycroft_missing_services_total", "",
                        static_cast<double>(context.missing.size()));
+  CountUnusualStatuses(context.attempts, metrics_);
 }
 
 bool ForwardLogFilter::ShouldLog(const ForwardContext& context,
@@ -199,6 +202,16 @@
   base::Log(base::Event::kRequestEnded, fields);
 }
 
+void CountUnusualStatuses(const std::vector<AttemptRecord>& attempts,
+                          base::Metrics& metrics) {
+  for (const AttemptRecord& attempt : attempts) {
+    if (attempt.status != 0 && attempt.status != http::kStatusOk)
+      metrics.Increment("celerycroft_unusual_server_statuses_total",
+                        "status=\"" + std::to_string(attempt.status) +
+                            "\",result=\"" + attempt.result + "\"");
+  }
+}
+
 void LogDelegatedWork(const LeafAnswer& answer, LogLineLimiter& line_limiter) {
   if (answer.missing.empty())
     return;
--- a/Libraries/LibQuery/forward_log.h
+++ b/Libraries/LibQuery/forward_log.h
@@ -11,6 +11,7 @@
 #include <functional>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "LibBase/metrics.h"
 #include "LibBase/scheduler.h"
@@ -52,6 +53,11 @@
 // missing from the answer.
 void LogDelegatedWork(const LeafAnswer& answer, LogLineLimiter& line_limiter);
 
+// Counts the replies of servers with another status than 200, by status and by
+// what they counted as.
+void CountUnusualStatuses(const std::vector<AttemptRecord>& attempts,
+                          base::Metrics& metrics);
+
 // Describes an attempt in words, for the log line of its request.
 std::string DescribeAttempt(const AttemptRecord& attempt);
 
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -296,8 +296,10 @@
     if (attempt == progress.attempts.end() || !attempt->open)
       return;
     attempt->open = false;
+    const int status =
+        outcome && outcome->forwarded ? outcome->forwarded->message.status : 0;
     outcome = CheckOutcome(progress, call, std::move(outcome));
-    RecordEnd(*attempt, outcome);
+    RecordEnd(*attempt, outcome, status);
     if (outcome)
       AcceptReply(progress, std::move(*outcome));
     else
@@ -327,12 +329,14 @@
 }
 
 void LeafExecution::RecordEnd(const Attempt& attempt,
-                              const ShardOutcome& outcome) {
+                              const ShardOutcome& outcome,
+                              int status) {
   const base::Duration elapsed = Now() - attempt.started;
   attempt_recorder_.OnAttemptEnd(
       attempt, Now(),
       outcome ? "answered"
-              : std::string(upstream::ShardFailureName(outcome.error())));
+              : std::string(upstream::ShardFailureName(outcome.error())),
+      status);
   dependencies_->servers.OnCallEnded(
       attempt.server, outcome ? CallEnd::kAnswered : CallEnd::kFailed, elapsed,
       Now());
--- a/Libraries/LibQuery/leaf_execution.h
+++ b/Libraries/LibQuery/leaf_execution.h
@@ -78,7 +78,10 @@
   upstream::ShardOutcome CheckOutcome(ServiceProgress& progress,
                                       const upstream::ShardCall& call,
                                       upstream::ShardOutcome outcome);
-  void RecordEnd(const Attempt& attempt, const upstream::ShardOutcome& outcome);
+  // `status` is that of the server's reply, or 0.
+  void RecordEnd(const Attempt& attempt,
+                 const upstream::ShardOutcome& outcome,
+                 int status);
   void AcceptReply(ServiceProgress& progress, upstream::ShardReply reply);
   void OnFailure(ServiceProgress& progress,
                  const Attempt& attempt,
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -127,6 +127,9 @@
   // Not set while the attempt is open.
   std::optional<base::Duration> took = std::nullopt;
   std::string result = "abandoned";
+  // Of the server's reply; 0 without a reply, or if the server did not run the
+  // request.
+  int status = 0;
   std::string no_retry_reason = {};  // Why it was not repeated after it failed.
   // What was known of the server when it was chosen, and the number of servers
   // to choose from.
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -12,6 +12,7 @@
 #include "Fakes/scripted_transport.h"
 #include "Fakes/virtual_scheduler.h"
 #include "LibBase/log.h"
+#include "LibQuery/forward_log.h"
 
 namespace query {
 namespace {
@@ -219,6 +220,43 @@
   return options;
 }
 
+// The signed reply of a server, with a status below 500, to the call at
+// `index`.
+upstream::ShardReply ReplyWithStatus(const LeafFixture& leaf,
+                                     size_t index,
+                                     int status,
+                                     upstream::ServerVerdict verdict) {
+  const upstream::ShardCall& call = leaf.transport.calls.at(index).call;
+  auto forwarded = std::make_shared<upstream::ForwardedReply>();
+  forwarded->signature = "s";
+  forwarded->verdict = verdict;
+  forwarded->message.status = status;
+  return {call.request_id,  call.attempt, call.version,
+          call.shard_count, {},           forwarded};
+}
+
+TEST_CASE("attempts are recorded and counted with their replies' status") {
+  using upstream::ServerVerdict;
+  LeafFixture leaf(LeafFixture::Options{.extra_load = 10});
+  leaf.Execute(MergedOptions());
+  leaf.transport.End(0, ReplyWithStatus(leaf, 0, 404, ServerVerdict::kFailed));
+  REQUIRE(leaf.transport.calls.size() == 2);
+  leaf.transport.End(1,
+                     ReplyWithStatus(leaf, 1, 201, ServerVerdict::kSucceeded));
+  REQUIRE(leaf.answer);
+  REQUIRE(leaf.answer->attempts.size() == 2);
+  CHECK(DescribeAttempt(leaf.answer->attempts[0])
+            .find("failed with status 404") != std::string::npos);
+  CHECK(DescribeAttempt(leaf.answer->attempts[1])
+            .find("answered with status 201") != std::string::npos);
+  base::Metrics metrics;
+  CountUnusualStatuses(leaf.answer->attempts, metrics);
+  const std::string text = metrics.ToPrometheusText();
+  CHECK(text.find("status=\"404\",result=\"failed\"} 1") != std::string::npos);
+  CHECK(text.find("status=\"201\",result=\"answered\"} 1") !=
+        std::string::npos);
+}
+
 TEST_CASE(
     "services that another node refused to call are called from this node") {
   LeafFixture leaf(4, "far");
