LibQuery, platform: Merge no failure of a query's only shard

Callers of a query over an index of one shard got 200 with the signature of a server's failure as its only part, and the failure's body as records, whenever the server failed with a status below 500.

Cause: the codec took a call to one shard for a request to a route's only service, whose client errors are relayed with their status. How many shards there are doesn't say what a reply is for; a merged answer has no place for a part's status. With two shards or more, or from 500 on, the rule held, which rules out the merge, the delegation and the retries as causes.

A call now says whether its reply is relayed or merged. That follows from the request having a number of records to merge, which also decides on delegation; it is unset, no longer zero, for requests to one service, so that a query for no records is a query still. For a failed part, what holds for 500 holds for every failure now: the server's share of failures rises, another server is asked within the budget, and if none succeeds the caller gets 504 without a signature. Answers of a route's only service are relayed as before.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -716,7 +716,7 @@
                                         query::MissingReason::kOverloaded));
     return;
   }
-  const size_t top_records = request.forward->top_records;
+  const size_t top_records = request.forward->top_records.value_or(0);
   const query::RunningLeafRequestPtr run = leaf_executor_.Execute(
       upstream_cache_.UpstreamFor(configuration, route->gather->services),
       std::move(request),
--- a/Libraries/LibPeer/codec.cc
+++ b/Libraries/LibPeer/codec.cc
@@ -77,13 +77,13 @@
   }
   out.setBody(ToData(message.body));
   out.setMaxAttempts(value.max_attempts);
-  out.setTopRecords(static_cast<uint32_t>(value.top_records));
+  out.setTopRecords(static_cast<uint32_t>(value.top_records.value_or(0)));
   out.setObjectiveUs(value.objective.count());
   out.setLeastShare(value.min_answered_share);
 }
 
-// NOTE: `repeatability` is not sent: only requests that may be repeated are
-// delegated to other nodes.
+// NOTE: Only requests whose replies are merged are delegated to other nodes.
+// All of these may be repeated, so that `repeatability` is not sent.
 query::ForwardOptions Decode(wire::ForwardedRequest::Reader in) {
   auto request = std::make_shared<upstream::ForwardedRequest>();
   request->id = ToString(in.getId());
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -61,7 +61,7 @@
 std::vector<DelegatedWork> LeafExecution::PlanDelegatedWork() {
   const bool may_delegate =
       dependencies_->delegation && upstream_ && request_.forward &&
-      request_.forward->top_records > 0 &&
+      request_.forward->reply_use() == upstream::ReplyUse::kMerged &&
       request_.forward->origin == RequestOrigin::kCaller &&
       request_.forward->objective > kMinDelegationObjective;
   if (!may_delegate)
@@ -268,7 +268,9 @@
                        request_.shard_count,
                        progress.work->shards,
                        request_.query,
-                       request_.forward ? request_.forward->request : nullptr};
+                       request_.forward ? request_.forward->request : nullptr,
+                       request_.forward ? request_.forward->reply_use()
+                                        : upstream::ReplyUse::kRelayed};
   const upstream::ServerTarget target{
       chosen.address, dependencies_->max_connections_per_server(*upstream_),
       chosen.instance};
--- a/Libraries/LibQuery/leaf_message.h
+++ b/Libraries/LibQuery/leaf_message.h
@@ -59,11 +59,16 @@
   // deadline.
   base::Duration objective{};
   double min_answered_share = 1;
-  // Number of records in the merged answer; zero if answers are not merged.
-  size_t top_records = 0;
+  // Number of records in the merged answer. Unset if the replies are not
+  // merged, however many services there are.
+  std::optional<size_t> top_records;
   // Work that another node has delegated is not delegated again.
   RequestOrigin origin = RequestOrigin::kCaller;
 
+  upstream::ReplyUse reply_use() const {
+    return top_records ? upstream::ReplyUse::kMerged
+                       : upstream::ReplyUse::kRelayed;
+  }
   bool operator==(const ForwardOptions&) const = default;
 };
 
--- a/Libraries/LibUpstream/shard_call.h
+++ b/Libraries/LibUpstream/shard_call.h
@@ -15,6 +15,10 @@
 
 namespace upstream {
 
+// What a server's reply to a forwarded request is for: it is passed on to the
+// caller as it is, or its records are merged with those of other services.
+enum class ReplyUse : uint8_t { kRelayed, kMerged };
+
 struct ShardCall {
   std::string request_id;  // Unique among the requests of all nodes.
   uint32_t attempt = 0;    // Unique within the request.
@@ -25,6 +29,7 @@
   std::string query;
   // If set, this request is sent instead of `query`.
   ForwardedRequestPtr forwarded = nullptr;
+  ReplyUse reply_use = ReplyUse::kRelayed;  // Of `forwarded`.
 
   bool operator==(const ShardCall&) const = default;
 };
--- a/Tests/LibPeer/peer_codec_test.cc
+++ b/Tests/LibPeer/peer_codec_test.cc
@@ -1,4 +1,5 @@
-// Tests that no field of a gossip message is lost on its way.
+// Tests that no field of a gossip message, and not what the replies to
+// delegated requests are for, is lost on its way.
 
 #include <capnp/message.h>
 #include <doctest/doctest.h>
@@ -45,5 +46,23 @@
   CHECK(message.summaries == std::vector<membership::FactSummary>{{1, {2, 3}}});
 }
 
+TEST_CASE("the replies to a delegated request are merged") {
+  for (const size_t top_records : {0, 5}) {
+    CAPTURE(top_records);
+    query::LeafRequest request;
+    request.shard_count = 1;
+    request.forward =
+        query::ForwardOptions{std::make_shared<upstream::ForwardedRequest>()};
+    request.forward->top_records = top_records;
+    capnp::MallocMessageBuilder builder;
+    Encode(request, builder.initRoot<wire::LeafRequest>());
+    const auto decoded =
+        Decode(builder.getRoot<wire::LeafRequest>().asReader());
+    REQUIRE(decoded.forward);
+    CHECK(decoded.forward->top_records == top_records);
+    CHECK(decoded.forward->reply_use() == upstream::ReplyUse::kMerged);
+  }
+}
+
 }  // namespace
 }  // namespace peer
--- a/Tests/LibQuery/leaf_executor_test.cc
+++ b/Tests/LibQuery/leaf_executor_test.cc
@@ -257,6 +257,42 @@
         std::string::npos);
 }
 
+// A query over one shard was taken for a request to one service.
+TEST_CASE("a call says that its reply is merged also if there is one shard") {
+  for (const uint32_t services : {1, 2}) {
+    CAPTURE(services);
+    LeafFixture leaf(services);
+    leaf.Execute(MergedOptions());
+    for (const auto& sent : leaf.transport.calls)
+      CHECK(sent.call.reply_use == upstream::ReplyUse::kMerged);
+    ForwardOptions relayed = MergedOptions();
+    relayed.top_records.reset();
+    const size_t first = leaf.transport.calls.size();
+    leaf.Execute(relayed);
+    CHECK(leaf.transport.calls.at(first).call.reply_use ==
+          upstream::ReplyUse::kRelayed);
+  }
+}
+
+TEST_CASE("a part that failed is asked of another server, within the budget") {
+  LeafFixture leaf(LeafFixture::Options{.extra_load = 1});
+  ForwardOptions options = MergedOptions();
+  options.min_answered_share = 1;
+  leaf.Execute(options);
+  leaf.transport.End(
+      0, ReplyWithStatus(leaf, 0, 404, upstream::ServerVerdict::kFailed));
+  REQUIRE(leaf.transport.calls.size() == 2);
+  CHECK(leaf.transport.calls[0].address != leaf.transport.calls[1].address);
+  leaf.transport.End(
+      1, ReplyWithStatus(leaf, 1, 404, upstream::ServerVerdict::kFailed));
+  REQUIRE(leaf.answer);
+  CHECK(leaf.answer->parts.empty());
+  CHECK(leaf.answer->load.retries == 1);
+  CHECK(leaf.answer->run_state == RunState::kMayHaveRun);
+  REQUIRE(leaf.answer->missing.size() == 1);
+  CHECK(leaf.answer->missing.front().reason == MissingReason::kBrokenAnswer);
+}
+
 TEST_CASE(
     "services that another node refused to call are called from this node") {
   LeafFixture leaf(4, "far");
--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -1,6 +1,6 @@
-// What callers get if a server sends bytes that only resemble an answer, over
-// real sockets: a node, a stand-in for the store, and servers that answer with
-// given bytes.
+// What callers get if a server fails, or sends bytes that only resemble an
+// answer, over real sockets: a node, a stand-in for the store, and servers that
+// answer with given bytes.
 
 #include <doctest/doctest.h>
 
@@ -52,11 +52,11 @@
 })";
 
 // Routes to the services below, of which the first two gather. All but `pair`
-// have a server in trouble only.
-soak::Deployment MakeDeployment() {
+// and the second shard have a server in trouble only.
+soak::Deployment MakeDeployment(size_t shards) {
   soak::Deployment deployment;
   deployment.zones = {"a"};
-  deployment.shards = 1;
+  deployment.shards = shards;
   deployment.shard = {"shard", 1, 3, {}};
   deployment.single_services = {
       {"alone", 1, 3, {}}, {"once", 1, 3, {}}, {"pair", 2, 3, {}}};
@@ -95,22 +95,34 @@
     base::DisableLog();
     for (const std::string service : {"shard0", "alone", "once", "pair"})
       AddServer(service, [this, service] { return TroubledAnswer(service); });
-    AddServer("pair", [] { return kSoundAnswer; });
-    boost::asio::post(store_thread_.io(), [this] {
-      store_.Put(wire::kConfigurationPrefix,
-                 soak::MakeConfiguration(MakeDeployment(), 1));
-    });
+    for (const std::string service : {"pair", "shard1"})
+      AddServer(service, [] { return kSoundAnswer; });
+    PutConfiguration(1, 1);
     node_ = ForwardNode::Create(
                 config::ParseForwardNodeSettings(kSettings, "test").settings,
                 node_thread_.io())
                 .value();
-    WaitUntilServed();
+    // It then knows the configuration and all servers.
+    WaitUntilServed({"/shard0/", "/alone/", "/once/", "/pair/"});
   }
   ~Tier() {
     node_thread_.Stop();
     store_thread_.Stop();
   }
 
+  // Publishes a version of the configuration that divides the index into this
+  // number of shards.
+  void PutConfiguration(uint64_t version, size_t shards) {
+    boost::asio::post(store_thread_.io(), [this, version, shards] {
+      store_.Put(wire::kConfigurationPrefix,
+                 soak::MakeConfiguration(MakeDeployment(shards), version));
+    });
+  }
+  // Waits until the version's configuration is in force.
+  static void WaitForVersion(uint64_t version) {
+    WaitUntilServed({soak::VersionPathPrefix(version)});
+  }
+
   // Sets the answer of the servers in trouble.
   void SetAnswer(std::string answer) {
     const std::lock_guard lock(mutex_);
@@ -144,10 +156,9 @@
     return answer_;
   }
 
-  // Waits until the node knows the configuration and all servers.
-  static void WaitUntilServed() {
+  static void WaitUntilServed(const std::vector<std::string>& targets) {
     const auto end = std::chrono::steady_clock::now() + kSettleTime;
-    for (const char* target : {"/shard0/", "/alone/", "/once/", "/pair/"}) {
+    for (const std::string& target : targets) {
       while (!Send("GET", target).starts_with("HTTP/1.1 200")) {
         REQUIRE(std::chrono::steady_clock::now() < end);
         std::this_thread::sleep_for(kPollPeriod);
@@ -228,5 +239,69 @@
   }
 }
 
+// Returns a signed answer of a server in trouble.
+std::string MakeFailure(int status) {
+  return "HTTP/1.1 " + std::to_string(status) +
+         " Trouble\r\nCelerycroft-Server-Stamp: trouble\r\n"
+         "Content-Length: 16\r\n\r\nsixteen trouble!";
+}
+
+// Failures of a query's only shard reached callers as successes: 200, with the
+// failure's signature as a part and its body as records.
+TEST_CASE("a failure of the only shard is not a part of the answer") {
+  Tier tier;
+  const auto check_is_no_part = [&] {
+    for (const int status : {300, 302, 400, 404, 409, 429, 499, 500, 503}) {
+      CAPTURE(status);
+      tier.SetAnswer(MakeFailure(status));
+      const std::string given = Send("GET", "/shard0/");
+      CAPTURE(given);
+      // No server's signature and another status than that server's.
+      CHECK(given.starts_with("HTTP/1.1 504 "));
+      CHECK(given.find("trouble") == std::string::npos);
+    }
+  };
+  check_is_no_part();
+  // The index is divided into two shards, and into one again.
+  for (const uint64_t version : {2, 3}) {
+    CAPTURE(version);
+    tier.SetAnswer(kSoundAnswer);
+    tier.PutConfiguration(version, version == 2 ? 2 : 1);
+    Tier::WaitForVersion(version);
+    check_is_no_part();
+  }
+}
+
+TEST_CASE("any success of the only shard is a part of the answer") {
+  Tier tier;
+  for (const int status : {200, 201, 203}) {
+    CAPTURE(status);
+    tier.SetAnswer(MakeFailure(status));
+    const std::string given = Send("GET", "/shard0/");
+    CAPTURE(given);
+    CHECK(given.starts_with("HTTP/1.1 200 "));
+    CHECK(given.find("Part-Stamps: trouble\r\n") != std::string::npos);
+    CHECK(given.ends_with("sixteen trouble!"));
+  }
+}
+
+TEST_CASE("a client error of a route's only service is relayed as it is") {
+  Tier tier;
+  for (const int status : {302, 400, 404, 409, 499}) {
+    for (const std::string service : {"alone", "once"}) {
+      CAPTURE(status);
+      CAPTURE(service);
+      tier.SetAnswer(MakeFailure(status));
+      const std::string given =
+          Send(service == "once" ? "POST" : "GET", "/" + service + "/");
+      CAPTURE(given);
+      CHECK(given.starts_with("HTTP/1.1 " + std::to_string(status) + " "));
+      CHECK(given.find("Server-Stamp: trouble\r\n") != std::string::npos);
+      CHECK(given.ends_with("sixteen trouble!"));
+      CHECK(tier.troubled_calls(service) == 1);
+    }
+  }
+}
+
 }  // namespace
 }  // namespace platform
--- a/Tests/platform/codec_test.cc
+++ b/Tests/platform/codec_test.cc
@@ -61,6 +61,34 @@
   CHECK(loaded->forwarded->load == upstream::ServerLoad{3, 0, 8});
 }
 
+// With one shard only, failures below 500 counted as parts of the answer.
+TEST_CASE("only a success counts as an answer if it is merged") {
+  const auto verdict_of = [](upstream::ReplyUse use, uint32_t shard_count,
+                             int status) {
+    upstream::ShardCall call = MakeCall();
+    call.reply_use = use;
+    call.shard_count = shard_count;
+    return ServerCodec()
+        .Decode(call, MakeResponse(status, {{"Celerycroft-Server-Stamp", "s"}}))
+        ->forwarded->verdict;
+  };
+  using upstream::ReplyUse;
+  using upstream::ServerVerdict;
+  for (int status = 200; status < 600; ++status) {
+    if (status == http::kStatusMisdirected)
+      continue;  // A refusal, whatever the reply is for.
+    CAPTURE(status);
+    const auto merged =
+        status < 300 ? ServerVerdict::kSucceeded : ServerVerdict::kFailed;
+    const auto relayed =
+        status < 500 ? ServerVerdict::kSucceeded : ServerVerdict::kFailed;
+    for (const uint32_t shard_count : {1, 2}) {
+      CHECK(verdict_of(ReplyUse::kMerged, shard_count, status) == merged);
+      CHECK(verdict_of(ReplyUse::kRelayed, shard_count, status) == relayed);
+    }
+  }
+}
+
 TEST_CASE("hop-by-hop headers are not forwarded") {
   const auto call = DecodeCallerRequest({"GET",
                                          "/a/",
