--- a/Tests/platform/store_client_test.cc
+++ b/Tests/platform/store_client_test.cc
@@ -15,7 +15,7 @@
 namespace platform {
 namespace {
 
-constexpr char kAddress[] = "127.0.0.82:18085";
+constexpr char kAddress[] = "127.0.0.83:18085";
 
 std::string MakeAnswer(const std::string& status,
                        const std::string& headers,
