LibUpstream, platform: Decode what leaving servers say in their answers

Servers that leave say so in each answer, and the store may be unable to tell. Whether a host heard that, and used the server all the same, could not be seen: the word was decoded nowhere. It is a part of the server's statement now, beside its limit, and a counter has the answers that carry it. Nothing acts on it yet.

It is read from answers to the call only that are signed or refuse the request. The listener is told which server was called, with its address, so that it can tell one instance from the next.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -732,17 +732,26 @@
   cancellation->OnCancelled([run] { run->Cancel(); });
 }
 
-void ForwardCore::OnStatement(
-    const std::string& instance,
-    base::Instant asked,
-    const base::Result<upstream::ServerStatement>& statement) {
-  const base::Instant now = dependencies_.scheduler.Now();
-  if (statement) {
-    server_limiter_.OnStatement(instance, asked, *statement, now);
-    return;
-  }
+void ForwardCore::OnStatement(const upstream::ServerTarget& server,
+                              base::Instant asked,
+                              const upstream::ServerStatement& statement) {
+  if (statement.max_request_rate)
+    server_limiter_.OnStatement(server.instance, asked,
+                                *statement.max_request_rate,
+                                dependencies_.scheduler.Now());
+  else
+    RejectStatement(server.instance, statement.max_request_rate.error());
+  if (!statement.is_leaving)
+    RejectStatement(server.instance, statement.is_leaving.error());
+  else if (*statement.is_leaving)
+    metrics_.Increment("celerycroft_leaving_server_answers_total", "");
+}
+
+void ForwardCore::RejectStatement(const std::string& instance,
+                                  const base::Error& error) {
   metrics_.Increment("celerycroft_server_statements_rejected_total", "");
-  server_limiter_.OnInvalidStatement(instance, statement.error(), now);
+  server_limiter_.OnInvalidStatement(instance, error,
+                                     dependencies_.scheduler.Now());
 }
 
 membership::GossipMessage ForwardCore::Gossip(
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -120,10 +120,9 @@
   std::string MetricsText();
 
   // upstream::StatementListener:
-  void OnStatement(
-      const std::string& instance,
-      base::Instant asked,
-      const base::Result<upstream::ServerStatement>& statement) override;
+  void OnStatement(const upstream::ServerTarget& server,
+                   base::Instant asked,
+                   const upstream::ServerStatement& statement) override;
 
   // peer::Handler:
   void ExecuteLeaf(query::LeafRequest request,
@@ -154,6 +153,7 @@
   // Returns whether a restored store still lists what is known of the server.
   bool IsKnownFromEarlierEra(const upstream::ServerClaim& claim);
   bool IsMissingForAMoment(const upstream::ServerClaim& removal);
+  void RejectStatement(const std::string& instance, const base::Error& error);
   void OnConfiguration(const config::Manifest& manifest);
   void OnStoreHealth(platform::StoreHealth health);
   void AnnounceStoreHealth();
--- a/Libraries/LibUpstream/http_transport.cc
+++ b/Libraries/LibUpstream/http_transport.cc
@@ -91,7 +91,7 @@
     }
     if (listener) {
       if (const auto statement = codec->ReadStatement(shard_call, *result))
-        listener->OnStatement(target.instance, asked, *statement);
+        listener->OnStatement(target, asked, *statement);
     }
     callback(codec->Decode(shard_call, *std::move(result)));
   };
--- a/Libraries/LibUpstream/server_limiter.cc
+++ b/Libraries/LibUpstream/server_limiter.cc
@@ -92,10 +92,10 @@
 
 void ServerLimiter::OnStatement(const std::string& instance,
                                 base::Instant asked,
-                                const ServerStatement& statement,
+                                std::optional<double> max_request_rate,
                                 base::Instant now) {
   // Nearly all servers never name a limit. They get no entry.
-  if (!statement.max_request_rate && limited_server_count_ == 0)
+  if (!max_request_rate && limited_server_count_ == 0)
     return;
   struct Change {
     std::optional<double> rate;
@@ -105,22 +105,22 @@
   const auto change =
       entries_.With(instance, [&](Entries& entries) -> std::optional<Change> {
         const auto found = entries.find(instance);
-        if (found == entries.end() && !statement.max_request_rate)
+        if (found == entries.end() && !max_request_rate)
           return std::nullopt;
         Entry& entry = entries[instance];
         // NOTE: Answers may overtake each other.
         if (asked < entry.asked)
           return std::nullopt;
         entry.asked = asked;
-        if (entry.rate == statement.max_request_rate)
+        if (entry.rate == max_request_rate)
           return std::nullopt;
         if (entry.rate)
           Refill(entry, now);
         else
           entry.refilled_at = now;
-        if (entry.rate.has_value() != statement.max_request_rate.has_value())
-          CountLimited(statement.max_request_rate.has_value());
-        entry.rate = statement.max_request_rate;
+        if (entry.rate.has_value() != max_request_rate.has_value())
+          CountLimited(max_request_rate.has_value());
+        entry.rate = max_request_rate;
         return Change{entry.rate, std::exchange(entry.calls, 0),
                       std::exchange(entry.calls_held_back, 0)};
       });
--- a/Libraries/LibUpstream/server_limiter.h
+++ b/Libraries/LibUpstream/server_limiter.h
@@ -19,7 +19,6 @@
 #include "LibBase/lock_striped.h"
 #include "LibBase/time.h"
 #include "LibUpstream/call_limiter.h"
-#include "LibUpstream/server_statement.h"
 
 namespace upstream {
 
@@ -45,10 +44,10 @@
 // Safe from any thread.
 class ServerLimiter final : public CallLimiter {
  public:
-  // Records what a server says of its limit. Logs changes of it.
+  // Records ServerStatement::max_request_rate. Logs changes of it.
   void OnStatement(const std::string& instance,
                    base::Instant asked,
-                   const ServerStatement& statement,
+                   std::optional<double> max_request_rate,
                    base::Instant now);
   // Logs a statement that can't be used, once a minute for each server.
   void OnInvalidStatement(const std::string& instance,
--- a/Libraries/LibUpstream/server_statement.h
+++ b/Libraries/LibUpstream/server_statement.h
@@ -4,17 +4,21 @@
 #define LIBUPSTREAM_SERVER_STATEMENT_H_
 
 #include <optional>
-#include <string>
 
 #include "LibBase/error.h"
 #include "LibBase/time.h"
+#include "LibUpstream/transport.h"
 
 namespace upstream {
 
+// Each part is an error if the server made an invalid statement on it.
 struct ServerStatement {
   // How many requests a second the server takes from all nodes together; unset
   // if it names no limit. Finite and not negative.
-  std::optional<double> max_request_rate;
+  base::Result<std::optional<double>> max_request_rate =
+      std::optional<double>();
+  // Whether the server will end soon and wants no more requests.
+  base::Result<bool> is_leaving = false;
 
   bool operator==(const ServerStatement&) const = default;
 };
@@ -24,11 +28,10 @@
   virtual ~StatementListener() = default;
 
   // Called for each answer of the server, refusals included, before the call
-  // that it answers ends. `asked` is when that call began. The statement is an
-  // error if it can't be used.
-  virtual void OnStatement(const std::string& instance,
+  // that it answers ends. `asked` is when that call began.
+  virtual void OnStatement(const ServerTarget& server,
                            base::Instant asked,
-                           const base::Result<ServerStatement>& statement) = 0;
+                           const ServerStatement& statement) = 0;
 };
 
 // Passes on what servers say.
--- a/Libraries/LibUpstream/shard_codec.h
+++ b/Libraries/LibUpstream/shard_codec.h
@@ -28,7 +28,7 @@
   // Returns what the server that was called says of itself. Returns nothing if
   // another server may have sent the response, or if the protocol has no such
   // statements.
-  virtual std::optional<base::Result<ServerStatement>> ReadStatement(
+  virtual std::optional<ServerStatement> ReadStatement(
       const ShardCall&,
       const http::Response&) const {
     return std::nullopt;
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -60,7 +60,7 @@
   scheduler_.After(script.service_time, [this, asked = scheduler_.Now(), script,
                                          call, target, callback] {
     if (listener_)
-      listener_->OnStatement(target.instance, asked, script.statement);
+      listener_->OnStatement(target, asked, script.statement);
     if (script.failure) {
       callback(tl::make_unexpected(*script.failure));
       return;
--- a/Tests/platform/codec_test.cc
+++ b/Tests/platform/codec_test.cc
@@ -191,23 +191,75 @@
     return codec.ReadStatement(MakeCall(),
                                MakeResponse(status, std::move(headers)));
   };
-  CHECK(read(200, {{"server-limit", "28.3"}})->value().max_request_rate ==
-        28.3);
-  CHECK(read(503, {{"Server-Limit", "5"}})->value().max_request_rate == 5);
-  CHECK(read(200, {{"Server-Limit", "0"}})->value().max_request_rate == 0);
-  CHECK_FALSE(read(200, {})->value().max_request_rate);
+  CHECK(read(200, {{"server-limit", "28.3"}})->max_request_rate == 28.3);
+  CHECK(read(503, {{"Server-Limit", "5"}})->max_request_rate == 5);
+  CHECK(read(200, {{"Server-Limit", "0"}})->max_request_rate == 0);
+  CHECK(read(200, {})->max_request_rate == std::nullopt);
   for (const char* invalid :
        {"", "-1", "nan", "inf", "1e999", "5 a second", " 5", "0x10"}) {
     CAPTURE(invalid);
-    CHECK_FALSE(read(200, {{"Server-Limit", invalid}})->has_value());
+    CHECK_FALSE(
+        read(200, {{"Server-Limit", invalid}})->max_request_rate.has_value());
   }
-  CHECK_FALSE(
-      read(200, {{"Server-Limit", "5"}, {"Server-Limit", "5"}})->has_value());
+  CHECK_FALSE(read(200, {{"Server-Limit", "5"}, {"Server-Limit", "5"}})
+                  ->max_request_rate.has_value());
   // Another server may have sent these.
   CHECK_FALSE(read(421, {{"Server-Limit", "5"}}));
   CHECK_FALSE(
       read(200, {{"Server-Limit", "5"}, {"Celerycroft-Request-Id", "r0"}}));
 }
 
+TEST_CASE("a server that is leaving says so in answers to the call") {
+  const ServerCodec codec;
+  const http::Header leaving = {"Server-Leaving", "1"};
+  const http::Header signature = {"Celerycroft-Server-Stamp", "s"};
+  const auto read = [&](int status, http::Headers headers) {
+    return codec.ReadStatement(MakeCall(),
+                               MakeResponse(status, std::move(headers)));
+  };
+  CHECK(read(200, {signature})->is_leaving == false);
+  CHECK(read(200, {signature, {"server-leaving", "1"}})->is_leaving == true);
+  CHECK(read(404, {signature, leaving})->is_leaving == true);
+  CHECK(read(503, {{"Celerycroft-Not-Executed", "1"}, leaving})->is_leaving ==
+        true);
+  // What is not known to be an answer of the server that was called.
+  CHECK(read(200, {leaving})->is_leaving == false);
+  CHECK(read(503, {leaving})->is_leaving == false);
+  CHECK_FALSE(read(421, {signature, leaving}));
+  CHECK_FALSE(
+      read(200, {signature, leaving, {"Celerycroft-Request-Id", "r0"}}));
+  CHECK_FALSE(read(200, {signature, leaving, {"Content-Encoding", "gzip"}}));
+}
+
+TEST_CASE("an invalid statement does not hide another one") {
+  const ServerCodec codec;
+  const http::Header signature = {"Celerycroft-Server-Stamp", "s"};
+  const auto read = [&](http::Headers headers) {
+    headers.push_back(signature);
+    return *codec.ReadStatement(MakeCall(),
+                                MakeResponse(200, std::move(headers)));
+  };
+  for (const char* invalid :
+       {"", "0", "2", "true", "01", "1, 1", "-1", "1e308"}) {
+    CAPTURE(invalid);
+    const auto statement =
+        read({{"Server-Leaving", invalid}, {"Server-Limit", "5"}});
+    CHECK_FALSE(statement.is_leaving.has_value());
+    CHECK(statement.max_request_rate == 5);
+  }
+  CHECK_FALSE(read({{"Server-Leaving", "1"}, {"Server-Leaving", "0"}})
+                  .is_leaving.has_value());
+  CHECK(read({{"Server-Leaving", "1"}, {"Server-Leaving", "1"}}).is_leaving ==
+        true);
+  const auto long_value =
+      read({{"Server-Leaving", std::string(10'000, 'x')}}).is_leaving;
+  REQUIRE_FALSE(long_value.has_value());
+  CHECK(long_value.error().message().size() < 200);
+  const auto statement =
+      read({{"Server-Leaving", "1"}, {"Server-Limit", "many"}});
+  CHECK(statement.is_leaving == true);
+  CHECK_FALSE(statement.max_request_rate.has_value());
+}
+
 }  // namespace
 }  // namespace platform
