LibNode, LibUpstream: Send nothing to servers that say they are leaving

Callers' requests reached a server that was leaving until it ended, and some were lost with it, although the host had passed on the server's word in earlier answers and other servers were free.

Cause: of all that decides, nothing heard the word; a server left only by its entry in the store. A store that is silent is not needed.

The registry now also takes announcements that servers make in their answers. They are bound to one incarnation of the instance, which the call names, and hold for as long as that runs, like a leaving entry: an entry that says ready, a removal and return, a later answer without the word and another era of the store don't revoke them, and a new run gets work at once. The server gets no new calls, and those that wait for a connection to it go to another.

--- a/Libraries/LibConfig/upstream.h
+++ b/Libraries/LibConfig/upstream.h
@@ -4,6 +4,7 @@
 #ifndef LIBCONFIG_UPSTREAM_H_
 #define LIBCONFIG_UPSTREAM_H_
 
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,6 +19,8 @@
   // Distinguishes the server from earlier ones at the same address. Empty if
   // the address alone identifies the server.
   std::string instance = {};
+  // Identifies one run of the instance; 0 if unknown.
+  uint64_t incarnation = 0;
 
   // The string that identifies this server.
   const std::string& identity() const {
--- a/Libraries/LibNode/connection_warmer.cc
+++ b/Libraries/LibNode/connection_warmer.cc
@@ -69,7 +69,8 @@
         if (server.availability_zone == own_zone_)
           local_addresses.insert(server.address);
         if (found_addresses.insert(server.address).second)
-          targets.push_back({server.address, max_connections, server.instance});
+          targets.push_back({server.address, max_connections, server.instance,
+                             server.incarnation});
       }
     }
   }
--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -185,6 +185,7 @@
       leaf_executor_(
           {dependencies_.scheduler, dependencies_.random,
            dependencies_.transport, servers_, hedge_policy_, extra_load_budget_,
+           // NOTE: Servers say in their answers that they leave: OnStatement.
            [](const std::string&) {},
            [this](const config::Upstream& upstream) {
              return MaxConnectionsPerServer(upstream);
@@ -525,9 +526,21 @@
   const upstream::ClaimEffect effect = server_registry_.Apply(claim);
   if (effect != upstream::ClaimEffect::kLeaving)
     return;
-  const auto server = server_registry_.Find(claim.instance);
   leaving_server_log_.Add(claim.instance, claim.revision);
-  if (server)
+  WithdrawWaitingCalls(claim.instance);
+}
+
+void ForwardCore::ApplyLeavingAnnouncement(const std::string& instance,
+                                           uint64_t incarnation) {
+  if (server_registry_.ApplyAnnouncement(instance, incarnation) !=
+      upstream::ClaimEffect::kLeaving)
+    return;
+  leaving_server_log_.AddAnnounced(instance);
+  WithdrawWaitingCalls(instance);
+}
+
+void ForwardCore::WithdrawWaitingCalls(const std::string& instance) {
+  if (const auto server = server_registry_.Find(instance))
     dependencies_.transport.DropWaitingCalls(server->address);
 }
 
@@ -744,7 +757,12 @@
   if (!statement.is_leaving)
     RejectStatement(server.instance, statement.is_leaving.error());
   else if (*statement.is_leaving)
-    metrics_.Increment("celerycroft_leaving_server_answers_total", "");
+    OnLeavingAnswer(server);
+}
+
+void ForwardCore::OnLeavingAnswer(const upstream::ServerTarget& server) {
+  metrics_.Increment("celerycroft_leaving_server_answers_total", "");
+  ApplyLeavingAnnouncement(server.instance, server.incarnation);
 }
 
 void ForwardCore::RejectStatement(const std::string& instance,
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -150,9 +150,14 @@
   void OnFact(const membership::Fact& fact);
   void OnClaimFact(const upstream::ServerClaim& claim);
   void ApplyClaim(const upstream::ServerClaim& claim);
+  // Takes a server out of use that said in an answer that it is leaving.
+  void ApplyLeavingAnnouncement(const std::string& instance,
+                                uint64_t incarnation);
+  void WithdrawWaitingCalls(const std::string& instance);
   // Returns whether a restored store still lists what is known of the server.
   bool IsKnownFromEarlierEra(const upstream::ServerClaim& claim);
   bool IsMissingForAMoment(const upstream::ServerClaim& removal);
+  void OnLeavingAnswer(const upstream::ServerTarget& server);
   void RejectStatement(const std::string& instance, const base::Error& error);
   void OnConfiguration(const config::Manifest& manifest);
   void OnStoreHealth(platform::StoreHealth health);
--- a/Libraries/LibNode/leaving_server_log.cc
+++ b/Libraries/LibNode/leaving_server_log.cc
@@ -12,6 +12,11 @@
   pending_.push_back(instance + "@" + base::ToString(revision));
 }
 
+void LeavingServerLog::AddAnnounced(const std::string& instance) {
+  const std::lock_guard lock(mutex_);
+  pending_.push_back(instance + "@answer");
+}
+
 void LeavingServerLog::Flush() {
   std::string servers;
   {
--- a/Libraries/LibNode/leaving_server_log.h
+++ b/Libraries/LibNode/leaving_server_log.h
@@ -24,6 +24,8 @@
 
   // Notes that the server left with this revision of its registry entry.
   void Add(const std::string& instance, const base::StoreRevision& revision);
+  // Notes that the server left because its answers say so.
+  void AddAnnounced(const std::string& instance);
   // Writes at most one line. Call it at short intervals.
   void Flush();
 
--- a/Libraries/LibQuery/leaf_execution.cc
+++ b/Libraries/LibQuery/leaf_execution.cc
@@ -273,7 +273,7 @@
                                         : upstream::ReplyUse::kRelayed};
   const upstream::ServerTarget target{
       chosen.address, dependencies_->max_connections_per_server(*upstream_),
-      chosen.instance};
+      chosen.instance, chosen.incarnation};
   attempt_recorder_.OnAttemptBegin(progress.service->name, attempt, kind, view,
                                    candidates.servers.size());
   dependencies_->servers.OnCallStarted(attempt.server, Now());
--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -4,7 +4,6 @@
 
 #include <algorithm>
 #include <nlohmann/json.hpp>
-#include <set>
 #include <utility>
 
 namespace upstream {
@@ -80,6 +79,8 @@
   if (!is_known && !claim.server)
     return ClaimEffect::kNone;
   Entry& entry = entries_[claim.instance];
+  if (const auto early = early_announcements_.extract(claim.instance))
+    entry.leaving_incarnations = early.mapped();
   if (!entry.IsOlderThan(claim))
     return ClaimEffect::kNone;
   // A claim that was delayed on its way to the store is older than the one that
@@ -99,7 +100,7 @@
     entry.server = *claim.server;
   }
   if (entry.server.phase == ServerPhase::kLeaving)
-    entry.leaving_incarnation = entry.server.incarnation;
+    entry.leaving_incarnations.insert(entry.server.incarnation);
   const bool was_serving = is_known && before.takes_work();
   if (was_serving == entry.takes_work() && before.server == entry.server)
     return ClaimEffect::kNone;
@@ -109,6 +110,33 @@
   return was_serving ? ClaimEffect::kLeaving : ClaimEffect::kServing;
 }
 
+ClaimEffect ServerRegistry::ApplyAnnouncement(const std::string& instance,
+                                              uint64_t incarnation) {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(instance);
+  if (found == entries_.end()) {
+    early_announcements_[instance].insert(incarnation);
+    return ClaimEffect::kNone;
+  }
+  Entry& entry = found->second;
+  const bool was_serving = entry.takes_work();
+  entry.leaving_incarnations.insert(incarnation);
+  if (was_serving == entry.takes_work())
+    return ClaimEffect::kNone;
+  ++generation_;
+  return ClaimEffect::kLeaving;
+}
+
+bool ServerRegistry::HasAnnouncedLeaving(const std::string& instance,
+                                         uint64_t incarnation) const {
+  const std::lock_guard lock(mutex_);
+  if (const auto found = entries_.find(instance); found != entries_.end())
+    return found->second.leaving_incarnations.contains(incarnation);
+  const auto early = early_announcements_.find(instance);
+  return early != early_announcements_.end() &&
+         early->second.contains(incarnation);
+}
+
 std::optional<ServerClaim> ServerRegistry::CarryOver(
     const ServerClaim& claim) const {
   if (!claim.server)
@@ -162,8 +190,8 @@
     return servers;
   for (const auto& [instance, entry] : found->second) {
     if (entry->takes_work())
-      servers.push_back(
-          {entry->server.address, entry->server.availability_zone, instance});
+      servers.push_back({entry->server.address, entry->server.availability_zone,
+                         instance, entry->server.incarnation});
   }
   return servers;
 }
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -1,5 +1,6 @@
 // The servers that registered themselves with the platform: which ones take
-// work, and which are leaving or were removed.
+// work, and which are leaving or were removed. A server announces that it is
+// leaving in its entry or in its answers.
 
 #ifndef LIBUPSTREAM_SERVER_REGISTRY_H_
 #define LIBUPSTREAM_SERVER_REGISTRY_H_
@@ -8,6 +9,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -50,9 +52,9 @@
 std::string SerializeClaim(const ServerClaim& claim);
 base::Result<ServerClaim> ParseClaim(std::string_view text);
 
-// What a claim changed in the registry.
+// What a claim or an announcement changed in the registry.
 enum class ClaimEffect {
-  kNone,     // The claim is old, or repeats what is known.
+  kNone,     // It is old, or repeats what is known.
   kServing,  // The server takes work now and did not before.
   kLeaving,  // The server took work before and no longer does.
   kUpdated,  // Another field of the server changed.
@@ -64,6 +66,14 @@
   // Merges a claim and returns what it changed.
   ClaimEffect Apply(const ServerClaim& claim);
 
+  // Records that this incarnation of the instance announced in an answer that
+  // it is leaving. The instance may be unknown yet. Returns what that changed.
+  ClaimEffect ApplyAnnouncement(const std::string& instance,
+                                uint64_t incarnation);
+  // Returns whether the incarnation announced in any way that it is leaving.
+  bool HasAnnouncedLeaving(const std::string& instance,
+                           uint64_t incarnation) const;
+
   // Returns nothing unless the claim is of a later era of the store than what
   // is known of its instance, and says what was outdated in the earlier one:
   // the store came back from a copy. Returns what is known, as a correction of
@@ -101,12 +111,12 @@
     uint64_t correction = 0;
     RegisteredServer server;
     bool is_removed = false;
-    // The incarnation that announced that it is leaving. A later claim of the
-    // same incarnation can't revoke this.
-    std::optional<uint64_t> leaving_incarnation;
+    // The incarnations that announced that they are leaving. A later claim of
+    // the same incarnation can't revoke this.
+    std::set<uint64_t> leaving_incarnations;
 
     bool takes_work() const {
-      return !is_removed && leaving_incarnation != server.incarnation;
+      return !is_removed && !leaving_incarnations.contains(server.incarnation);
     }
     // Returns whether the claim was made after the one that is known.
     bool IsOlderThan(const ServerClaim& claim) const;
@@ -122,6 +132,9 @@
   // and instance.
   std::map<std::string, std::map<std::string, const Entry*>, std::less<>>
       entries_by_service_;
+  // Incarnations that announced that they are leaving, of instances that no
+  // claim has named yet.
+  std::map<std::string, std::set<uint64_t>> early_announcements_;
   uint64_t generation_ = 0;
 };
 
--- a/Libraries/LibUpstream/transport.h
+++ b/Libraries/LibUpstream/transport.h
@@ -25,8 +25,9 @@
 struct ServerTarget {
   std::string address;
   int max_connections = 1;
-  // Holds config::Server::instance.
+  // Hold config::Server::instance and incarnation.
   std::string instance = {};
+  uint64_t incarnation = 0;
 };
 
 class Transport {
--- a/Tests/Fakes/forward_tier.cc
+++ b/Tests/Fakes/forward_tier.cc
@@ -199,7 +199,7 @@
   server.availability_zone = "a";
   server.slots = 2;
   server.phase = phase;
-  server.incarnation = 1;
+  server.incarnation = incarnations_.try_emplace(instance, 1).first->second;
   server.sequence = ++sequences_[instance];
   scripts_.try_emplace(instance);
   store_.Put(kServersPrefix + instance,
@@ -210,6 +210,13 @@
   store_.Remove(kServersPrefix + instance);
 }
 
+void ForwardTier::StartServerAgain(const std::string& instance,
+                                   const std::string& service) {
+  ++incarnations_[instance];
+  sequences_[instance] = 0;
+  PutServer(instance, service);
+}
+
 std::optional<query::ForwardAnswer> ForwardTier::SendAndWait(
     int node,
     const std::string& target,
--- a/Tests/Fakes/forward_tier.h
+++ b/Tests/Fakes/forward_tier.h
@@ -88,6 +88,9 @@
                  const std::string& service,
                  upstream::ServerPhase phase = upstream::ServerPhase::kServing);
   void RemoveServer(const std::string& instance);
+  // Registers a new run of the instance.
+  void StartServerAgain(const std::string& instance,
+                        const std::string& service);
 
   // Sends a request for `target` to a node, runs for `time` and returns the
   // answer, if it came within that time. `transit` is how long the request took
@@ -132,6 +135,8 @@
   uint64_t next_incarnation_ = 1;
   // The last sequence number of each server's registration, by instance.
   std::map<std::string, uint64_t> sequences_;
+  // The present incarnation of each server, by instance.
+  std::map<std::string, uint64_t> incarnations_;
   std::vector<std::unique_ptr<NodeProcess>> processes_;
   // Ended processes are kept, since tasks that they added may still be due.
   std::vector<std::unique_ptr<NodeProcess>> ended_processes_;
