LibNode, LibUpstream: Let running requests avoid servers that left

A request that ran when a server left, by its answers or by its entry, could still be sent there when it was repeated, and be lost with the server: requests choose among the servers that there were when they began, and in a forwarding node nothing told the table that they look at which of these had left.

ForwardCore tells the table whenever the registry changes whether a server takes work, in the order of the registry's changes, so that a new run of the instance is called again.

leaving_answer_test, new case, before: 2 of 2 subcases failed (1 call each); after: 0 calls. server_table_test: 6 of 6 cases.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -524,10 +524,11 @@
 void ForwardCore::ApplyClaim(const upstream::ServerClaim& claim) {
   const auto span = work_meter_.Measure("apply_claim");
   const upstream::ClaimEffect effect = server_registry_.Apply(claim);
-  if (effect != upstream::ClaimEffect::kLeaving)
-    return;
-  leaving_server_log_.Add(claim.instance, claim.revision);
-  WithdrawWaitingCalls(claim.instance);
+  if (effect == upstream::ClaimEffect::kLeaving)
+    leaving_server_log_.Add(claim.instance, claim.revision);
+  if (effect == upstream::ClaimEffect::kLeaving ||
+      effect == upstream::ClaimEffect::kServing)
+    OnTakesWorkChanged(claim.instance);
 }
 
 void ForwardCore::ApplyLeavingAnnouncement(const std::string& instance,
@@ -536,11 +537,20 @@
       upstream::ClaimEffect::kLeaving)
     return;
   leaving_server_log_.AddAnnounced(instance);
-  WithdrawWaitingCalls(instance);
+  OnTakesWorkChanged(instance);
 }
 
-void ForwardCore::WithdrawWaitingCalls(const std::string& instance) {
-  if (const auto server = server_registry_.Find(instance))
+// Requests choose among the servers that there were when they began. Those that
+// run already learn from `servers_` which of these take no more work.
+void ForwardCore::OnTakesWorkChanged(const std::string& instance) {
+  bool takes_work = false;
+  {
+    const std::lock_guard lock(takes_work_mutex_);
+    takes_work = server_registry_.TakesWork(instance);
+    servers_.SetTakesWork(instance, takes_work);
+  }
+  const auto server = server_registry_.Find(instance);
+  if (!takes_work && server)
     dependencies_.transport.DropWaitingCalls(server->address);
 }
 
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -153,7 +153,8 @@
   // Takes a server out of use that said in an answer that it is leaving.
   void ApplyLeavingAnnouncement(const std::string& instance,
                                 uint64_t incarnation);
-  void WithdrawWaitingCalls(const std::string& instance);
+  // Called when the registry has changed whether the server takes work.
+  void OnTakesWorkChanged(const std::string& instance);
   // Returns whether a restored store still lists what is known of the server.
   bool IsKnownFromEarlierEra(const upstream::ServerClaim& claim);
   bool IsMissingForAMoment(const upstream::ServerClaim& removal);
@@ -234,6 +235,10 @@
   // The highest version of the facts on whether the store answers this node.
   membership::FactVersion own_health_version_;
 
+  // Held while `servers_` is told whether a server takes work, so that it is
+  // told last what the registry holds.
+  std::mutex takes_work_mutex_;
+
   std::mutex demand_mutex_;
   // The highest version of the facts on this node's demand for calls. Guarded
   // by `demand_mutex_`.
--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -181,6 +181,12 @@
   return repeated == known;
 }
 
+bool ServerRegistry::TakesWork(const std::string& instance) const {
+  const std::lock_guard lock(mutex_);
+  const auto found = entries_.find(instance);
+  return found != entries_.end() && found->second.takes_work();
+}
+
 std::vector<config::Server> ServerRegistry::ServersOf(
     const std::string& service) const {
   const std::lock_guard lock(mutex_);
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -88,6 +88,8 @@
   // known to warm up, still does.
   bool IsWarmUpProgress(const ServerClaim& claim) const;
 
+  // Returns whether the instance is known and takes work.
+  bool TakesWork(const std::string& instance) const;
   // Returns the servers of the service that take work.
   std::vector<config::Server> ServersOf(const std::string& service) const;
   // Returns, by availability zone, how many services have a server there that
--- a/Libraries/LibUpstream/server_table.cc
+++ b/Libraries/LibUpstream/server_table.cc
@@ -61,8 +61,9 @@
 ServerView ServerTable::ToView(const std::string& identity,
                                const Entry& entry,
                                base::Instant now) {
-  const bool leaving = entry.leaving_incarnation &&
-                       *entry.leaving_incarnation >= entry.known_incarnation;
+  const bool is_reported_leaving =
+      entry.leaving_incarnation &&
+      *entry.leaving_incarnation >= entry.known_incarnation;
   const bool is_silent = entry.abandoned_calls > 0 ? now < entry.next_trial
                                                    : entry.outstanding > 0;
   const base::Instant silence_end =
@@ -74,7 +75,7 @@
           entry.outstanding,
           base::Duration(
               static_cast<int64_t>(entry.mean_latency_us * remaining_weight)),
-          leaving,
+          is_reported_leaving || !entry.takes_work,
           now < entry.unreachable_until,
           silence,
           entry.failure_share * remaining_weight,
@@ -168,6 +169,12 @@
   });
 }
 
+void ServerTable::SetTakesWork(const std::string& identity, bool takes_work) {
+  entries_.With(identity, [&](auto& entries) {
+    entries[identity].takes_work = takes_work;
+  });
+}
+
 bool ServerTable::OnReport(const ServerReport& report) {
   entries_.With(report.address, [&](auto& entries) {
     Entry& entry = entries[report.address];
--- a/Libraries/LibUpstream/server_table.h
+++ b/Libraries/LibUpstream/server_table.h
@@ -63,6 +63,10 @@
   // the server is leaving now and was not marked before.
   bool MarkLeaving(const std::string& identity, uint64_t incarnation);
 
+  // Records whether the server takes work, if that is known from elsewhere than
+  // its reports. One that takes none counts as leaving.
+  void SetTakesWork(const std::string& identity, bool takes_work);
+
   // Applies a report. Returns whether the server's phase changed to leaving.
   bool OnReport(const ServerReport& report);
 
@@ -77,6 +81,7 @@
     // The highest incarnation that announced that it is leaving. A later report
     // of the same incarnation can't revoke this.
     std::optional<uint64_t> leaving_incarnation;
+    bool takes_work = true;  // As SetTakesWork was told last.
     base::Instant unreachable_until{};
     // When a call last ended other than by being abandoned or, if later, when
     // the first of the unanswered calls started.
--- a/Tests/LibNode/leaving_answer_test.cc
+++ b/Tests/LibNode/leaving_answer_test.cc
@@ -123,6 +123,40 @@
   CHECK(CallsOf(*tier, "xs0") > 0);
 }
 
+// Requests choose among the servers that there were when they began.
+TEST_CASE("a request that runs already is not repeated at a server that left") {
+  const auto tier = ForwardTier::CreateSettled(kNodeCount, kServiceCount);
+  tier->repeatability = config::Repeatability::kOnce;
+  tier->PutConfiguration(4, kServiceCount);
+  tier->PutServer("ys0", "s0", upstream::ServerPhase::kLeaving);
+  tier->RunFor(seconds(1));
+  tier->scripts()["zs0"].failure = upstream::ShardFailure::kOverloaded;
+  tier->scripts()["zs0"].service_time = milliseconds(300);
+  const auto begin_request_at_other_server = [&] {
+    do {
+      tier->RunFor(seconds(1));
+      tier->log().clear();
+      tier->SendAndWait(0, "/one/x", milliseconds(50));
+    } while (CallsOf(*tier, "zs0") == 0);
+  };
+  begin_request_at_other_server();
+  SUBCASE("by its answers") {
+    tier->core(0).OnStatement({"", 1, "xs0", 1}, tier->Now(),
+                              {.is_leaving = true});
+  }
+  SUBCASE("by its entry") {
+    tier->PutServer("xs0", "s0", upstream::ServerPhase::kLeaving);
+  }
+  tier->RunFor(milliseconds(350));
+  CHECK(CallsOf(*tier, "xs0") == 0);
+  // A new run is called again.
+  tier->StartServerAgain("xs0", "s0");
+  tier->RunFor(seconds(1));
+  begin_request_at_other_server();
+  tier->RunFor(milliseconds(350));
+  CHECK(CallsOf(*tier, "xs0") == 1);
+}
+
 TEST_CASE(
     "callers are told at once when all servers of a service are leaving") {
   const auto tier = ForwardTier::CreateSettled(kNodeCount, kServiceCount);
--- a/Tests/LibUpstream/server_table_test.cc
+++ b/Tests/LibUpstream/server_table_test.cc
@@ -68,5 +68,16 @@
         kStart + milliseconds(50));
 }
 
+TEST_CASE("a server that takes no work counts as leaving until it does again") {
+  ServerTable table;
+  const base::Instant now{};
+  CHECK_FALSE(table.View("i-1", now).is_leaving);
+  table.SetTakesWork("i-1", false);
+  CHECK(table.View("i-1", now).is_leaving);
+  CHECK_FALSE(table.View("i-2", now).is_leaving);
+  table.SetTakesWork("i-1", true);
+  CHECK_FALSE(table.View("i-1", now).is_leaving);
+}
+
 }  // namespace
 }  // namespace upstream
