LibNode, LibUpstream: Tell the peers which servers say they are leaving

Each host had to hear a server's word in an answer of its own before it spared the server, and a host that was restarted forgot it, so that callers' requests still reached the server, and could be lost with it, from hosts that call it rarely.

The announcement is a fact of its own that nodes spread and compare. Its key holds the instance and the incarnation, so that it does not compete with the claims of the store, whatever their order and era, nor with those of other runs, and what the peers learned ends with the run. A node to which the store has said it already spreads nothing.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -23,6 +23,8 @@
 // Prefixes of the keys of facts.
 constexpr std::string_view kClaimFactPrefix = "claim/";
 constexpr std::string_view kStoreHealthFactPrefix = "store/";
+// An announcement of a server that is leaving follows.
+constexpr std::string_view kLeavingFactPrefix = "leaving/";
 // A server's instance, a slash and the id of the node that wants to call it
 // follow.
 constexpr std::string_view kDemandFactPrefix = "demand/";
@@ -76,6 +78,15 @@
           upstream::SerializeClaim(claim)};
 }
 
+// The key holds all of an announcement. If it held the instance only, that of
+// one run would replace that of another.
+membership::Fact ToFact(const upstream::LeavingAnnouncement& announcement) {
+  return {std::string(kLeavingFactPrefix) +
+              upstream::SerializeAnnouncement(announcement),
+          {.epoch = 1},
+          ""};
+}
+
 void LogRejectedFact(const membership::Fact& fact, const base::Error& error) {
   base::Log(Event::kFactRejected,
             {{"key", fact.key}, {"reason", error.ToString()}});
@@ -360,6 +371,13 @@
     OnStoreHealthFact(fact);
   } else if (fact.key.starts_with(kDemandFactPrefix)) {
     OnDemandFact(fact);
+  } else if (fact.key.starts_with(kLeavingFactPrefix)) {
+    const auto announcement = upstream::ParseAnnouncement(
+        std::string_view(fact.key).substr(kLeavingFactPrefix.size()));
+    if (announcement)
+      ApplyAnnouncement(*announcement);
+    else
+      LogRejectedFact(fact, announcement.error());
   } else if (fact.key.starts_with(kClaimFactPrefix)) {
     const auto claim = upstream::ParseClaim(fact.value);
     if (claim)
@@ -531,13 +549,13 @@
     OnTakesWorkChanged(claim.instance);
 }
 
-void ForwardCore::ApplyLeavingAnnouncement(const std::string& instance,
-                                           uint64_t incarnation) {
-  if (server_registry_.ApplyAnnouncement(instance, incarnation) !=
+void ForwardCore::ApplyAnnouncement(
+    const upstream::LeavingAnnouncement& announcement) {
+  if (server_registry_.ApplyAnnouncement(announcement) !=
       upstream::ClaimEffect::kLeaving)
     return;
-  leaving_server_log_.AddAnnounced(instance);
-  OnTakesWorkChanged(instance);
+  leaving_server_log_.AddAnnounced(announcement.instance);
+  OnTakesWorkChanged(announcement.instance);
 }
 
 // Requests choose among the servers that there were when they began. Those that
@@ -772,7 +790,10 @@
 
 void ForwardCore::OnLeavingAnswer(const upstream::ServerTarget& server) {
   metrics_.Increment("celerycroft_leaving_server_answers_total", "");
-  ApplyLeavingAnnouncement(server.instance, server.incarnation);
+  const upstream::LeavingAnnouncement announcement{server.instance,
+                                                   server.incarnation};
+  if (!server_registry_.IsAnnounced(announcement))
+    facts_.AddIfNewer(ToFact(announcement));
 }
 
 void ForwardCore::RejectStatement(const std::string& instance,
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -151,8 +151,7 @@
   void OnClaimFact(const upstream::ServerClaim& claim);
   void ApplyClaim(const upstream::ServerClaim& claim);
   // Takes a server out of use that said in an answer that it is leaving.
-  void ApplyLeavingAnnouncement(const std::string& instance,
-                                uint64_t incarnation);
+  void ApplyAnnouncement(const upstream::LeavingAnnouncement& announcement);
   // Called when the registry has changed whether the server takes work.
   void OnTakesWorkChanged(const std::string& instance);
   // Returns whether a restored store still lists what is known of the server.
--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -3,6 +3,7 @@
 #include "LibUpstream/server_registry.h"
 
 #include <algorithm>
+#include <charconv>
 #include <nlohmann/json.hpp>
 #include <utility>
 
@@ -10,6 +11,27 @@
 
 using nlohmann::json;
 
+// The instance may contain slashes, the incarnation can't.
+std::string SerializeAnnouncement(const LeavingAnnouncement& announcement) {
+  return announcement.instance + "/" + std::to_string(announcement.incarnation);
+}
+
+base::Result<LeavingAnnouncement> ParseAnnouncement(std::string_view text) {
+  const size_t slash = text.rfind('/');
+  LeavingAnnouncement announcement;
+  if (slash != std::string_view::npos && slash > 0) {
+    announcement.instance = text.substr(0, slash);
+    const char* end = text.data() + text.size();
+    const auto parsed =
+        std::from_chars(text.data() + slash + 1, end, announcement.incarnation);
+    if (parsed.ec == std::errc() && parsed.ptr == end)
+      return announcement;
+  }
+  return base::Fail(base::ErrorKind::kProtocol,
+                    "the announcement names no run of a server",
+                    "run the same version on all nodes");
+}
+
 std::string SerializeClaim(const ServerClaim& claim) {
   json document = {{"instance", claim.instance},
                    {"revision", claim.revision.number}};
@@ -110,31 +132,34 @@
   return was_serving ? ClaimEffect::kLeaving : ClaimEffect::kServing;
 }
 
-ClaimEffect ServerRegistry::ApplyAnnouncement(const std::string& instance,
-                                              uint64_t incarnation) {
+ClaimEffect ServerRegistry::ApplyAnnouncement(
+    const LeavingAnnouncement& announcement) {
   const std::lock_guard lock(mutex_);
-  const auto found = entries_.find(instance);
+  const auto found = entries_.find(announcement.instance);
   if (found == entries_.end()) {
-    early_announcements_[instance].insert(incarnation);
+    early_announcements_[announcement.instance].insert(
+        announcement.incarnation);
     return ClaimEffect::kNone;
   }
   Entry& entry = found->second;
   const bool was_serving = entry.takes_work();
-  entry.leaving_incarnations.insert(incarnation);
+  entry.leaving_incarnations.insert(announcement.incarnation);
   if (was_serving == entry.takes_work())
     return ClaimEffect::kNone;
   ++generation_;
   return ClaimEffect::kLeaving;
 }
 
-bool ServerRegistry::HasAnnouncedLeaving(const std::string& instance,
-                                         uint64_t incarnation) const {
+bool ServerRegistry::IsAnnounced(
+    const LeavingAnnouncement& announcement) const {
   const std::lock_guard lock(mutex_);
-  if (const auto found = entries_.find(instance); found != entries_.end())
-    return found->second.leaving_incarnations.contains(incarnation);
-  const auto early = early_announcements_.find(instance);
+  const auto found = entries_.find(announcement.instance);
+  if (found != entries_.end())
+    return found->second.leaving_incarnations.contains(
+        announcement.incarnation);
+  const auto early = early_announcements_.find(announcement.instance);
   return early != early_announcements_.end() &&
-         early->second.contains(incarnation);
+         early->second.contains(announcement.incarnation);
 }
 
 std::optional<ServerClaim> ServerRegistry::CarryOver(
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -49,6 +49,18 @@
   bool operator==(const ServerClaim&) const = default;
 };
 
+// Says that one run of an instance is leaving. It never ceases to hold.
+struct LeavingAnnouncement {
+  std::string instance;
+  uint64_t incarnation = 0;
+
+  bool operator==(const LeavingAnnouncement&) const = default;
+};
+
+// Convert an announcement to and from the text that nodes send each other.
+std::string SerializeAnnouncement(const LeavingAnnouncement& announcement);
+base::Result<LeavingAnnouncement> ParseAnnouncement(std::string_view text);
+
 std::string SerializeClaim(const ServerClaim& claim);
 base::Result<ServerClaim> ParseClaim(std::string_view text);
 
@@ -66,13 +78,11 @@
   // Merges a claim and returns what it changed.
   ClaimEffect Apply(const ServerClaim& claim);
 
-  // Records that this incarnation of the instance announced in an answer that
-  // it is leaving. The instance may be unknown yet. Returns what that changed.
-  ClaimEffect ApplyAnnouncement(const std::string& instance,
-                                uint64_t incarnation);
-  // Returns whether the incarnation announced in any way that it is leaving.
-  bool HasAnnouncedLeaving(const std::string& instance,
-                           uint64_t incarnation) const;
+  // Records an announcement that was made in an answer. The instance may be
+  // unknown yet. Returns what that changed.
+  ClaimEffect ApplyAnnouncement(const LeavingAnnouncement& announcement);
+  // Returns whether the announcement was made, in an answer or in a claim.
+  bool IsAnnounced(const LeavingAnnouncement& announcement) const;
 
   // Returns nothing unless the claim is of a later era of the store than what
   // is known of its instance, and says what was outdated in the earlier one:
--- a/Tests/LibNode/leaving_answer_test.cc
+++ b/Tests/LibNode/leaving_answer_test.cc
@@ -195,5 +195,37 @@
         std::string::npos);
 }
 
+// The server's next requests would come from nodes that it has not answered.
+TEST_CASE("nodes learn from each other that a server is leaving") {
+  const auto tier = ForwardTier::CreateSettled(kNodeCount, kServiceCount);
+  tier->store().outage = true;
+  tier->RunFor(milliseconds(300));
+  tier->core(0).OnStatement({"", 1, "xs0", 1}, tier->Now(),
+                            {.is_leaving = true});
+  tier->RunFor(seconds(1));
+  CheckIsNotUsed(*tier);
+  // What they learned ends with this run of the server.
+  tier->store().outage = false;
+  tier->RunFor(seconds(3));
+  tier->StartServerAgain("xs0", "s0");
+  tier->RunFor(milliseconds(500));
+  tier->log().clear();
+  SendToAll(*tier);
+  CHECK(CallsOf(*tier, "xs0") > 0);
+}
+
+TEST_CASE("a node that restarts learns from its peers which servers leave") {
+  const auto tier = ForwardTier::CreateSettled(kNodeCount, kServiceCount);
+  tier->core(0).OnStatement({"", 1, "xs0", 1}, tier->Now(),
+                            {.is_leaving = true});
+  tier->RunFor(seconds(1));
+  tier->Restart(0);
+  tier->RunFor(seconds(2));
+  tier->log().clear();
+  SendToAll(*tier, 1);
+  CHECK(CallsOf(*tier, "xs0") == 0);
+  CHECK(CallsOf(*tier, "ys0") > 0);
+}
+
 }  // namespace
 }  // namespace node
--- a/Tests/LibUpstream/server_registry_test.cc
+++ b/Tests/LibUpstream/server_registry_test.cc
@@ -172,11 +172,11 @@
   ServerRegistry registry;
   registry.Apply(ServingClaim(5, 1, 1));
   const uint64_t generation = registry.generation();
-  CHECK(registry.ApplyAnnouncement("i-1", 1) == ClaimEffect::kLeaving);
+  CHECK(registry.ApplyAnnouncement({"i-1", 1}) == ClaimEffect::kLeaving);
   CHECK(registry.generation() > generation);
-  CHECK(registry.HasAnnouncedLeaving("i-1", 1));
+  CHECK(registry.IsAnnounced({"i-1", 1}));
   CHECK(registry.ServersOf("ledger").empty());
-  CHECK(registry.ApplyAnnouncement("i-1", 1) == ClaimEffect::kNone);
+  CHECK(registry.ApplyAnnouncement({"i-1", 1}) == ClaimEffect::kNone);
   registry.Apply(ServingClaim(6, 1, 2));
   registry.Apply(RemovalClaim(7));
   registry.Apply(ServingClaim(8, 1, 3));
@@ -184,8 +184,8 @@
   CHECK(registry.Apply(ServingClaim(9, 2, 1)) == ClaimEffect::kServing);
   CHECK(registry.ServersOf("ledger").size() == 1);
   // Whoever heard the earlier run says nothing of this one.
-  CHECK(registry.ApplyAnnouncement("i-1", 1) == ClaimEffect::kNone);
-  CHECK_FALSE(registry.HasAnnouncedLeaving("i-1", 2));
+  CHECK(registry.ApplyAnnouncement({"i-1", 1}) == ClaimEffect::kNone);
+  CHECK_FALSE(registry.IsAnnounced({"i-1", 2}));
   CHECK(registry.ServersOf("ledger").size() == 1);
 }
 
@@ -193,22 +193,37 @@
 TEST_CASE("a run that began earlier than one that left gets work") {
   ServerRegistry registry;
   registry.Apply(ServingClaim(5, 9, 1));
-  registry.ApplyAnnouncement("i-1", 9);
+  registry.ApplyAnnouncement({"i-1", 9});
   CHECK(registry.Apply(ServingClaim(6, 8, 1)) == ClaimEffect::kServing);
-  CHECK(registry.ApplyAnnouncement("i-1", 8) == ClaimEffect::kLeaving);
-  CHECK(registry.HasAnnouncedLeaving("i-1", 9));
+  CHECK(registry.ApplyAnnouncement({"i-1", 8}) == ClaimEffect::kLeaving);
+  CHECK(registry.IsAnnounced({"i-1", 9}));
 }
 
 TEST_CASE("a server may say it is leaving before its claim is known") {
   ServerRegistry registry;
-  CHECK(registry.ApplyAnnouncement("i-1", 1) == ClaimEffect::kNone);
-  CHECK(registry.HasAnnouncedLeaving("i-1", 1));
+  CHECK(registry.ApplyAnnouncement({"i-1", 1}) == ClaimEffect::kNone);
+  CHECK(registry.IsAnnounced({"i-1", 1}));
   registry.Apply(ServingClaim(5, 1, 1));
   CHECK(registry.ServersOf("ledger").empty());
-  CHECK(registry.HasAnnouncedLeaving("i-1", 1));
+  CHECK(registry.IsAnnounced({"i-1", 1}));
   CHECK(registry.Apply(ServingClaim(6, 2, 1)) == ClaimEffect::kServing);
 }
 
+TEST_CASE("announcements are equal after serializing and parsing") {
+  for (const LeavingAnnouncement& announcement :
+       {LeavingAnnouncement{"i-1", 0},
+        LeavingAnnouncement{"a/b", UINT64_MAX}}) {
+    const auto parsed = ParseAnnouncement(SerializeAnnouncement(announcement));
+    REQUIRE(parsed);
+    CHECK(*parsed == announcement);
+  }
+  for (const char* invalid : {"", "/", "i-1", "i-1/", "/1", "i-1/-1", "i-1/1x",
+                              "i-1/ 1", "i-1/18446744073709551616"}) {
+    CAPTURE(invalid);
+    CHECK_FALSE(ParseAnnouncement(invalid));
+  }
+}
+
 TEST_CASE("claims are equal after serializing and parsing") {
   for (const ServerClaim& claim : {LeavingClaim(6, 3, 2), RemovalClaim(9)}) {
     const auto parsed = ParseClaim(SerializeClaim(claim));
