--- a/Tests/platform/broken_answer_test.cc
+++ b/Tests/platform/broken_answer_test.cc
@@ -303,5 +303,28 @@
   }
 }
 
+// The word of a leaving server was passed on and not read.
+TEST_CASE("a server whose answer says that it is leaving is not asked again") {
+  Tier tier;
+  tier.SetAnswer(
+      "HTTP/1.1 200 OK\r\nCelerycroft-Server-Stamp: trouble\r\n"
+      "Server-Leaving: 1\r\nContent-Length: 16\r\n\r\nsixteen trouble!");
+  bool has_passed_on = false;
+  for (int i = 0; i < 100 && !has_passed_on; ++i)
+    has_passed_on = Send("GET", "/pair/").ends_with("sixteen trouble!");
+  REQUIRE(has_passed_on);
+  const int calls = tier.troubled_calls("pair");
+  for (int i = 0; i < 30; ++i)
+    CHECK(Send("GET", "/pair/").ends_with("sixteen of sound"));
+  CHECK(tier.troubled_calls("pair") == calls);
+  // No other server is left of this service.
+  CHECK(Send("GET", "/alone/").ends_with("sixteen trouble!"));
+  const std::string refused = Send("GET", "/alone/");
+  CAPTURE(refused);
+  CHECK(refused.starts_with("HTTP/1.1 503 "));
+  CHECK(refused.find("Retry-After: ") != std::string::npos);
+  CHECK(tier.troubled_calls("alone") == 1);
+}
+
 }  // namespace
 }  // namespace platform
