--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -372,8 +372,8 @@
   } else if (fact.key.starts_with(kDemandFactPrefix)) {
     OnDemandFact(fact);
   } else if (fact.key.starts_with(kLeavingFactPrefix)) {
-    const auto announcement = upstream::ParseAnnouncement(
-        std::string_view(fact.key).substr(kLeavingFactPrefix.size()));
+    const auto announcement =
+        upstream::ParseAnnouncement(fact.key.substr(kLeavingFactPrefix.size()));
     if (announcement)
       ApplyAnnouncement(*announcement);
     else
