--- a/Tests/LibConfig/parsers_fuzz_test.cc
+++ b/Tests/LibConfig/parsers_fuzz_test.cc
@@ -12,13 +12,14 @@
 #include "LibMembership/member_codec.h"
 #include "LibQuery/caller_codec.h"
 #include "LibQuery/ticket.h"
+#include "LibUpstream/server_registry.h"
 #include "LibUpstream/server_report.h"
 #include "LibUpstream/shard_call.h"
 #include "LibUsage/usage_record.h"
 
 namespace {
 
-const std::array<std::string, 7> kCorpus = {
+const std::array<std::string, 8> kCorpus = {
     R"({"upstream":"u","query":"q","shards":[0,1],"deadlineMs":5,"key":"k"})",
     R"({"requestId":"r","attempt":1,"version":2,"shardCount":3,)"
     R"("results":[{"shard":0,"items":[1]}]})",
@@ -30,6 +31,7 @@
     R"("availabilityZone":"z"}]}]}]}})",
     R"([["2026-12-04","i","p","u",1,2,3,false]])",
     "node-1.process-1.7.123456.0123abcd",
+    "i-9e377243bb/1790000000000",
     R"({"revision":1,"publicationId":"p","contentDigest":"d","summary":"s"})"};
 
 std::string MutatedText() {
@@ -72,6 +74,8 @@
   }
   static_cast<void>(upstream::ParseReply(text));
   static_cast<void>(upstream::ParseReport(text));
+  static_cast<void>(upstream::ParseAnnouncement(text));
+  static_cast<void>(upstream::ParseClaim(text));
   static_cast<void>(config::ParseSettings(text, "f"));
   static_cast<void>(config::ParseContent(text, 1));
   static_cast<void>(config::ParseManifest(text));
--- a/Tests/LibUpstream/server_registry_test.cc
+++ b/Tests/LibUpstream/server_registry_test.cc
@@ -5,6 +5,9 @@
 
 #include <doctest/doctest.h>
 
+#include <algorithm>
+#include <array>
+
 namespace upstream {
 namespace {
 
@@ -189,6 +192,26 @@
   CHECK(registry.ServersOf("ledger").size() == 1);
 }
 
+TEST_CASE("claims and an announcement may arrive in any order") {
+  std::array<int, 4> order = {0, 1, 2, 3};
+  do {
+    CAPTURE(order[0]);
+    CAPTURE(order[1]);
+    CAPTURE(order[2]);
+    ServerRegistry registry;
+    for (const int step : order) {
+      if (step == 0)
+        registry.ApplyAnnouncement({"i-1", 1});
+      else
+        registry.Apply(ServingClaim(static_cast<uint64_t>(step + 4), 1,
+                                    static_cast<uint64_t>(step)));
+    }
+    CHECK_FALSE(registry.TakesWork("i-1"));
+    CHECK(registry.ServersOf("ledger").empty());
+    CHECK(registry.RevisionOf("i-1") == base::StoreRevision{7});
+  } while (std::ranges::next_permutation(order).found);
+}
+
 // The time of day may jump back on the server between two of its runs.
 TEST_CASE("a run that began earlier than one that left gets work") {
   ServerRegistry registry;
