--- a/Tests/LibUpstream/server_registry_test.cc
+++ b/Tests/LibUpstream/server_registry_test.cc
@@ -193,18 +193,17 @@
 }
 
 TEST_CASE("claims and an announcement may arrive in any order") {
-  std::array<int, 4> order = {0, 1, 2, 3};
+  std::array<uint64_t, 4> order = {0, 1, 2, 3};
   do {
     CAPTURE(order[0]);
     CAPTURE(order[1]);
     CAPTURE(order[2]);
     ServerRegistry registry;
-    for (const int step : order) {
+    for (const uint64_t step : order) {
       if (step == 0)
         registry.ApplyAnnouncement({"i-1", 1});
       else
-        registry.Apply(ServingClaim(static_cast<uint64_t>(step + 4), 1,
-                                    static_cast<uint64_t>(step)));
+        registry.Apply(ServingClaim(step + 4, 1, step));
     }
     CHECK_FALSE(registry.TakesWork("i-1"));
     CHECK(registry.ServersOf("ledger").empty());
