LibUpstream: Keep what leaving servers announced in one place

The registry kept announcements with its entry of the instance, or apart from it while no claim had named the instance, and moved them over. One map holds them all, whether the instance is known or not. No change in behaviour.

--- a/Libraries/LibUpstream/server_registry.cc
+++ b/Libraries/LibUpstream/server_registry.cc
@@ -101,8 +101,6 @@
   if (!is_known && !claim.server)
     return ClaimEffect::kNone;
   Entry& entry = entries_[claim.instance];
-  if (const auto early = early_announcements_.extract(claim.instance))
-    entry.leaving_incarnations = early.mapped();
   if (!entry.IsOlderThan(claim))
     return ClaimEffect::kNone;
   // A claim that was delayed on its way to the store is older than the one that
@@ -111,6 +109,7 @@
       claim.server->sequence < entry.server.sequence)
     return ClaimEffect::kNone;
   const Entry before = entry;
+  const bool was_serving = is_known && TakesWork(before);
   entry.revision = claim.revision;
   entry.correction = claim.correction;
   entry.is_removed = !claim.server;
@@ -122,12 +121,12 @@
     entry.server = *claim.server;
   }
   if (entry.server.phase == ServerPhase::kLeaving)
-    entry.leaving_incarnations.insert(entry.server.incarnation);
-  const bool was_serving = is_known && before.takes_work();
-  if (was_serving == entry.takes_work() && before.server == entry.server)
+    leaving_incarnations_[claim.instance].insert(entry.server.incarnation);
+  const bool is_serving = TakesWork(entry);
+  if (was_serving == is_serving && before.server == entry.server)
     return ClaimEffect::kNone;
   ++generation_;
-  if (was_serving == entry.takes_work())
+  if (was_serving == is_serving)
     return ClaimEffect::kUpdated;
   return was_serving ? ClaimEffect::kLeaving : ClaimEffect::kServing;
 }
@@ -136,15 +135,9 @@
     const LeavingAnnouncement& announcement) {
   const std::lock_guard lock(mutex_);
   const auto found = entries_.find(announcement.instance);
-  if (found == entries_.end()) {
-    early_announcements_[announcement.instance].insert(
-        announcement.incarnation);
-    return ClaimEffect::kNone;
-  }
-  Entry& entry = found->second;
-  const bool was_serving = entry.takes_work();
-  entry.leaving_incarnations.insert(announcement.incarnation);
-  if (was_serving == entry.takes_work())
+  const bool was_serving = found != entries_.end() && TakesWork(found->second);
+  leaving_incarnations_[announcement.instance].insert(announcement.incarnation);
+  if (!was_serving || TakesWork(found->second))
     return ClaimEffect::kNone;
   ++generation_;
   return ClaimEffect::kLeaving;
@@ -153,13 +146,19 @@
 bool ServerRegistry::IsAnnounced(
     const LeavingAnnouncement& announcement) const {
   const std::lock_guard lock(mutex_);
-  const auto found = entries_.find(announcement.instance);
-  if (found != entries_.end())
-    return found->second.leaving_incarnations.contains(
-        announcement.incarnation);
-  const auto early = early_announcements_.find(announcement.instance);
-  return early != early_announcements_.end() &&
-         early->second.contains(announcement.incarnation);
+  return HasAnnouncedLeaving(announcement.instance, announcement.incarnation);
+}
+
+bool ServerRegistry::HasAnnouncedLeaving(const std::string& instance,
+                                         uint64_t incarnation) const {
+  const auto found = leaving_incarnations_.find(instance);
+  return found != leaving_incarnations_.end() &&
+         found->second.contains(incarnation);
+}
+
+bool ServerRegistry::TakesWork(const Entry& entry) const {
+  return !entry.is_removed &&
+         !HasAnnouncedLeaving(entry.server.instance, entry.server.incarnation);
 }
 
 std::optional<ServerClaim> ServerRegistry::CarryOver(
@@ -178,7 +177,7 @@
                            claim.correction + 1};
   if (!known.is_removed)
     carried_over.server = known.server;
-  if (carried_over.server && !known.takes_work())
+  if (carried_over.server && !TakesWork(known))
     carried_over.server->phase = ServerPhase::kLeaving;
   return carried_over;
 }
@@ -209,7 +208,7 @@
 bool ServerRegistry::TakesWork(const std::string& instance) const {
   const std::lock_guard lock(mutex_);
   const auto found = entries_.find(instance);
-  return found != entries_.end() && found->second.takes_work();
+  return found != entries_.end() && TakesWork(found->second);
 }
 
 std::vector<config::Server> ServerRegistry::ServersOf(
@@ -220,7 +219,7 @@
   if (found == entries_by_service_.end())
     return servers;
   for (const auto& [instance, entry] : found->second) {
-    if (entry->takes_work())
+    if (TakesWork(*entry))
       servers.push_back({entry->server.address, entry->server.availability_zone,
                          instance, entry->server.incarnation});
   }
@@ -231,7 +230,7 @@
   const std::lock_guard lock(mutex_);
   std::set<std::pair<std::string, std::string>> present;
   for (const auto& [instance, entry] : entries_) {
-    if (entry.takes_work())
+    if (TakesWork(entry))
       present.emplace(entry.server.availability_zone, entry.server.service);
   }
   std::map<std::string, size_t> counts;
@@ -268,7 +267,7 @@
   for (const auto& [instance, entry] : entries_)
     claims.push_back(
         {instance, entry.revision,
-         entry.takes_work() ? std::optional(entry.server) : std::nullopt,
+         TakesWork(entry) ? std::optional(entry.server) : std::nullopt,
          entry.correction});
   return claims;
 }
--- a/Libraries/LibUpstream/server_registry.h
+++ b/Libraries/LibUpstream/server_registry.h
@@ -123,13 +123,6 @@
     uint64_t correction = 0;
     RegisteredServer server;
     bool is_removed = false;
-    // The incarnations that announced that they are leaving. A later claim of
-    // the same incarnation can't revoke this.
-    std::set<uint64_t> leaving_incarnations;
-
-    bool takes_work() const {
-      return !is_removed && !leaving_incarnations.contains(server.incarnation);
-    }
     // Returns whether the claim was made after the one that is known.
     bool IsOlderThan(const ServerClaim& claim) const;
     // Returns whether the server has said or done more, in its present
@@ -137,6 +130,11 @@
     bool IsAheadOf(const RegisteredServer& claimed) const;
   };
 
+  // Both require `mutex_` to be held.
+  bool HasAnnouncedLeaving(const std::string& instance,
+                           uint64_t incarnation) const;
+  bool TakesWork(const Entry& entry) const;
+
   mutable std::mutex mutex_;
   // All guarded by `mutex_`.
   std::map<std::string, Entry> entries_;  // By instance.
@@ -144,9 +142,10 @@
   // and instance.
   std::map<std::string, std::map<std::string, const Entry*>, std::less<>>
       entries_by_service_;
-  // Incarnations that announced that they are leaving, of instances that no
-  // claim has named yet.
-  std::map<std::string, std::set<uint64_t>> early_announcements_;
+  // The incarnations of each instance that announced that they are leaving, in
+  // answers or in claims. Later claims don't revoke this. The instance may be
+  // unknown.
+  std::map<std::string, std::set<uint64_t>> leaving_incarnations_;
   uint64_t generation_ = 0;
 };
 
