LibNode, LibUpstream: Log rejected statements apart from the limiter

ServerLimiter also logged invalid statements on leaving, which have nothing to do with limits. StatementRejectionLog does it for all statements; what is logged, and how often, is as before. The limiter's OnStatement, which takes only the limit since, is OnLimit.

--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -128,6 +128,11 @@
       leaving_server_log_([](std::string servers) {
         base::Log(Event::kServerLeaving, {{"servers", std::move(servers)}});
       }),
+      statement_rejection_log_(
+          [](const std::string& instance, const base::Error& error) {
+            base::Log(Event::kServerStatementRejected,
+                      {{"server", instance}, {"reason", error.ToString()}});
+          }),
       views_(settings_.self.node_id, {}),
       peer_dispatcher_(dependencies_.scheduler,
                        views_,
@@ -777,9 +782,8 @@
                               base::Instant asked,
                               const upstream::ServerStatement& statement) {
   if (statement.max_request_rate)
-    server_limiter_.OnStatement(server.instance, asked,
-                                *statement.max_request_rate,
-                                dependencies_.scheduler.Now());
+    server_limiter_.OnLimit(server.instance, asked, *statement.max_request_rate,
+                            dependencies_.scheduler.Now());
   else
     RejectStatement(server.instance, statement.max_request_rate.error());
   if (!statement.is_leaving)
@@ -799,8 +803,7 @@
 void ForwardCore::RejectStatement(const std::string& instance,
                                   const base::Error& error) {
   metrics_.Increment("celerycroft_server_statements_rejected_total", "");
-  server_limiter_.OnInvalidStatement(instance, error,
-                                     dependencies_.scheduler.Now());
+  statement_rejection_log_.Add(instance, error, dependencies_.scheduler.Now());
 }
 
 membership::GossipMessage ForwardCore::Gossip(
--- a/Libraries/LibNode/forward_core.h
+++ b/Libraries/LibNode/forward_core.h
@@ -24,6 +24,7 @@
 #include "LibNode/leaving_server_log.h"
 #include "LibNode/metered_gossip.h"
 #include "LibNode/peer_adapters.h"
+#include "LibNode/statement_rejection_log.h"
 #include "LibPeer/handler.h"
 #include "LibPeer/peer_client.h"
 #include "LibPlatform/configuration_controller.h"
@@ -199,6 +200,7 @@
   base::WorkMeter work_meter_;
   query::LogLineLimiter log_line_limiter_;
   LeavingServerLog leaving_server_log_;
+  StatementRejectionLog statement_rejection_log_;
 
   routing::ClusterViewController views_;
   PeerDispatcher peer_dispatcher_;
--- a/Libraries/LibUpstream/server_limiter.cc
+++ b/Libraries/LibUpstream/server_limiter.cc
@@ -15,7 +15,6 @@
 namespace {
 
 constexpr std::string_view kNoDemandText = "none";
-constexpr base::Duration kRejectionLogPeriod = std::chrono::minutes(1);
 // Time constant of the exponential decay of the demand estimate.
 constexpr double kDemandTimeConstantSeconds = 1;
 // Below this many calls a second, a node's demand counts as none.
@@ -90,10 +89,10 @@
   entry.refilled_at = now;
 }
 
-void ServerLimiter::OnStatement(const std::string& instance,
-                                base::Instant asked,
-                                std::optional<double> max_request_rate,
-                                base::Instant now) {
+void ServerLimiter::OnLimit(const std::string& instance,
+                            base::Instant asked,
+                            std::optional<double> max_request_rate,
+                            base::Instant now) {
   // Nearly all servers never name a limit. They get no entry.
   if (!max_request_rate && limited_server_count_ == 0)
     return;
@@ -139,21 +138,6 @@
     --limited_server_count_;
 }
 
-void ServerLimiter::OnInvalidStatement(const std::string& instance,
-                                       const base::Error& error,
-                                       base::Instant now) {
-  const bool is_due = rejections_.With(instance, [&](auto& rejections) {
-    const auto [entry, is_new] = rejections.try_emplace(instance, now);
-    if (!is_new && now - entry->second < kRejectionLogPeriod)
-      return false;
-    entry->second = now;
-    return true;
-  });
-  if (is_due)
-    base::Log(base::Event::kServerStatementRejected,
-              {{"server", instance}, {"reason", error.ToString()}});
-}
-
 void ServerLimiter::OnPeerDemand(const std::string& instance,
                                  const std::string& node,
                                  DemandLevel level) {
--- a/Libraries/LibUpstream/server_limiter.h
+++ b/Libraries/LibUpstream/server_limiter.h
@@ -44,15 +44,12 @@
 // Safe from any thread.
 class ServerLimiter final : public CallLimiter {
  public:
-  // Records ServerStatement::max_request_rate. Logs changes of it.
-  void OnStatement(const std::string& instance,
-                   base::Instant asked,
-                   std::optional<double> max_request_rate,
-                   base::Instant now);
-  // Logs a statement that can't be used, once a minute for each server.
-  void OnInvalidStatement(const std::string& instance,
-                          const base::Error& error,
-                          base::Instant now);
+  // Records the limit that a server names, in calls a second, or that it names
+  // none. `asked` is when the call began that told it. Logs changes.
+  void OnLimit(const std::string& instance,
+               base::Instant asked,
+               std::optional<double> max_request_rate,
+               base::Instant now);
   // Records what another node told of its demand.
   void OnPeerDemand(const std::string& instance,
                     const std::string& node,
@@ -104,8 +101,6 @@
   void CountLimited(bool is_limited);
 
   base::LockStriped<Entries> entries_;
-  // When an invalid statement of a server was last logged, by instance.
-  base::LockStriped<std::unordered_map<std::string, base::Instant>> rejections_;
   std::atomic<size_t> limited_server_count_{0};
 };
 
--- a/Tests/LibUpstream/server_limiter_test.cc
+++ b/Tests/LibUpstream/server_limiter_test.cc
@@ -21,7 +21,7 @@
   LimiterFixture() { base::DisableLog(); }
 
   void State(std::optional<double> limit) {
-    limiter.OnStatement(kServer, now, limit, now);
+    limiter.OnLimit(kServer, now, limit, now);
   }
 
   // Wants to call the server at each step and returns how often it could.
@@ -91,7 +91,7 @@
   const base::Instant asked_before = fixture.now;
   fixture.now += seconds(1);
   fixture.State(10);
-  fixture.limiter.OnStatement(kServer, asked_before, std::nullopt, fixture.now);
+  fixture.limiter.OnLimit(kServer, asked_before, std::nullopt, fixture.now);
   CHECK(fixture.limiter.limited_server_count() == 1);
 }
 
