--- a/Libraries/LibNode/forward_core.cc
+++ b/Libraries/LibNode/forward_core.cc
@@ -201,7 +201,7 @@
       leaf_executor_(
           {dependencies_.scheduler, dependencies_.random,
            dependencies_.transport, servers_, hedge_policy_, extra_load_budget_,
-           // NOTE: Servers say in their answers that they leave: OnStatement.
+           // Forwarded requests aren't refused for leaving: see OnStatement.
            [](const std::string&) {},
            [this](const config::Upstream& upstream) {
              return MaxConnectionsPerServer(upstream);
